Add the real node: module on sockets, clients, servers, discovery

One goroutine owns the module; attempts run on a pool of plain connections that writes each request once; the list is watched; clients come through net/http. The settings decoder is split out of the simulator's start event and read by both programs, as is the naming of load report values.

Before: no node.

--- /dev/null
+++ b/internal/node/backend.go
@@ -0,0 +1,393 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"sumacledge/decide"
+	"sumacledge/internal/wire"
+)
+
+const (
+	maxBody  = 64 << 10 // of a request or an answer
+	maxHead  = 16 << 10 // of an answer
+	maxInfos = 8        // 1xx answers ahead of the real one
+	idlePart = 0.75     // of the settings' idle time: the server must never be the first to close
+)
+
+// pool keeps connections to servers. It never sends anything itself.
+type pool struct {
+	dialer  net.Dialer
+	maxIdle time.Duration
+
+	mu       sync.Mutex
+	open     int // connections, idle, in use or being dialled
+	most     int
+	backends map[decide.ServerID]*backend
+}
+
+// backend is one process of a server. A restart or a new address makes a new
+// one, to which the old one's connections never return.
+type backend struct {
+	address string
+	since   int64
+	closed  bool
+	idle    []*conn // the one used last comes last
+}
+
+type conn struct {
+	net.Conn
+	of     *backend
+	pool   *pool
+	budget io.LimitedReader // what one answer may take
+	read   *bufio.Reader
+	idleAt time.Time
+}
+
+func newPool(s decide.Settings, most int) *pool {
+	p := &pool{most: most, backends: map[decide.ServerID]*backend{},
+		dialer: net.Dialer{Timeout: s.ConnectTimeout, KeepAlive: -1}}
+	if p.maxIdle = time.Duration(idlePart * float64(s.ConnIdle)); s.ConnIdle <= 0 {
+		p.maxIdle = time.Minute
+	}
+	return p
+}
+
+// set takes a server's address from the list. Connections to an earlier
+// process of it are worthless and are closed.
+func (p *pool) set(id decide.ServerID, address string, since int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if b := p.backends[id]; b != nil {
+		if b.address == address && b.since == since {
+			return
+		}
+		b.closed = true
+		p.drop(b)
+	}
+	p.backends[id] = &backend{address: address, since: since}
+}
+
+func (p *pool) remove(id decide.ServerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if b := p.backends[id]; b != nil {
+		b.closed = true
+		p.drop(b)
+		delete(p.backends, id)
+	}
+}
+
+// closeIdle closes the connections to a server that carry nothing.
+func (p *pool) closeIdle(id decide.ServerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if b := p.backends[id]; b != nil {
+		p.drop(b)
+	}
+}
+
+func (p *pool) drop(b *backend) {
+	for _, c := range b.idle {
+		c.Conn.Close()
+		p.open--
+	}
+	b.idle = nil
+}
+
+// expire closes the connections that have been idle too long.
+func (p *pool) expire(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, b := range p.backends {
+		old := 0
+		for old < len(b.idle) && now.Sub(b.idle[old].idleAt) >= p.maxIdle {
+			b.idle[old].Conn.Close()
+			old++
+		}
+		p.open -= old
+		b.idle = append(b.idle[:0], b.idle[old:]...)
+	}
+}
+
+// run expires idle connections until ctx ends.
+func (p *pool) run(ctx context.Context) {
+	for sleep(ctx, max(p.maxIdle/8, 50*time.Millisecond)) {
+		p.expire(time.Now())
+	}
+}
+
+// get finds an idle connection or dials. An error proves that nothing was sent.
+func (p *pool) get(ctx context.Context, id decide.ServerID) (*conn, error) {
+	b, c, err := p.take(id)
+	if c != nil || err != nil {
+		return c, err
+	}
+	raw, err := p.dialer.DialContext(ctx, "tcp", b.address)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, err
+	}
+	c = &conn{Conn: raw, of: b, pool: p}
+	c.budget.R = raw
+	c.read = bufio.NewReader(&c.budget)
+	return c, nil
+}
+
+// take returns an idle connection, or the backend with leave to dial it.
+func (p *pool) take(id decide.ServerID) (*backend, *conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := p.backends[id]
+	if b == nil {
+		return nil, nil, fmt.Errorf("server %d is not listed", id)
+	}
+	now := time.Now()
+	for n := len(b.idle); n > 0; n = len(b.idle) {
+		c := b.idle[n-1]
+		b.idle = b.idle[:n-1]
+		// A connection that its server has closed, or on which it said
+		// something unasked, would end as a reset that may have run. Nothing
+		// has been sent on it, so another one can do.
+		if now.Sub(c.idleAt) < p.maxIdle && silent(c.Conn) {
+			return b, c, nil
+		}
+		c.Conn.Close()
+		p.open--
+	}
+	if p.open >= p.most && !p.evict() {
+		return nil, nil, errors.New("too many connections")
+	}
+	p.open++
+	return b, nil, nil
+}
+
+// evict closes the connection that has been idle longest.
+func (p *pool) evict() bool {
+	var oldest *backend
+	for _, b := range p.backends {
+		if len(b.idle) > 0 && (oldest == nil || b.idle[0].idleAt.Before(oldest.idle[0].idleAt)) {
+			oldest = b
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.idle[0].Conn.Close()
+	oldest.idle = oldest.idle[1:]
+	p.open--
+	return true
+}
+
+// discard closes a connection that is not known to be at an answer's end.
+func (c *conn) discard() {
+	c.Conn.Close()
+	c.pool.mu.Lock()
+	c.pool.open--
+	c.pool.mu.Unlock()
+}
+
+// release puts a connection back that has been read cleanly to its end.
+func (c *conn) release() {
+	c.SetDeadline(time.Time{})
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if c.of.closed {
+		c.Conn.Close()
+		c.pool.open--
+		return
+	}
+	c.idleAt = time.Now()
+	c.of.idle = append(c.of.idle, c)
+}
+
+// silent tells whether an idle connection is open with nothing to read.
+func silent(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// outbound is what goes to a server for a client's request.
+type outbound struct {
+	method string
+	url    *url.URL
+	host   string
+	header http.Header // end to end ones
+	body   []byte
+}
+
+// bytes writes the request in full, so that one write sends it and its result
+// tells whether the last byte left.
+func (o *outbound) bytes(wait time.Duration) ([]byte, error) {
+	r := &http.Request{Method: o.method, URL: o.url, Host: o.host, Header: o.header.Clone(),
+		Body: http.NoBody, ContentLength: int64(len(o.body))}
+	if len(o.body) > 0 {
+		r.Body = io.NopCloser(bytes.NewReader(o.body))
+	}
+	r.Header.Set("X-Deadline", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+	if _, ok := r.Header["User-Agent"]; !ok {
+		r.Header["User-Agent"] = nil // none was sent, none is made up
+	}
+	var b bytes.Buffer
+	err := r.Write(&b)
+	return b.Bytes(), err
+}
+
+// result is how an attempt ended.
+type result struct {
+	code   decide.OutcomeCode
+	report *decide.Report
+	header http.Header // with OK: the answer's
+	body   []byte
+}
+
+// attempt sends a request once and waits for its answer until ctx ends. When
+// it returns, its connection is closed or back in the pool, so that a further
+// attempt cannot overlap it.
+func (p *pool) attempt(ctx context.Context, id decide.ServerID, o *outbound) result {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return result{code: decide.Moot} // an attempt without an end could hang for ever
+	}
+	msg, err := o.bytes(time.Until(end))
+	if err != nil {
+		return result{code: decide.Moot}
+	}
+	c, err := p.get(ctx, id)
+	if err != nil {
+		if errors.Is(context.Cause(ctx), context.Canceled) {
+			return result{code: decide.Cancelled}
+		}
+		return result{code: decide.ConnectFailed}
+	}
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if sent, err := c.Write(msg); err != nil {
+		c.discard()
+		if sent < len(msg) {
+			return result{code: decide.ConnectFailed}
+		}
+		return result{code: ending(ctx, err)}
+	}
+	c.budget.N = maxHead + maxBody
+	res, clean, err := c.receive(o.method)
+	if err != nil {
+		c.discard()
+		return result{code: ending(ctx, err), report: res.report}
+	}
+	// Once the watch on ctx cannot be stopped it may yet spoil the deadline of
+	// whoever has the connection next.
+	if clean && stop() {
+		c.release()
+	} else {
+		c.discard()
+	}
+	return res
+}
+
+// ending is the outcome of an attempt whose answer did not come: its last byte
+// was written, so it may have run.
+func ending(ctx context.Context, err error) decide.OutcomeCode {
+	var op *net.OpError
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return decide.Cancelled
+	case ctx.Err() != nil, errors.Is(err, os.ErrDeadlineExceeded):
+		return decide.TimedOut
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &op):
+		return decide.Reset
+	}
+	return decide.ServerError // it can't be read
+}
+
+// receive reads one answer to its end; clean tells that the connection can
+// carry another request.
+func (c *conn) receive(method string) (res result, clean bool, err error) {
+	var resp *http.Response
+	for i := 0; ; i++ {
+		resp, err = http.ReadResponse(c.read, &http.Request{Method: method})
+		if err != nil {
+			return res, false, err
+		}
+		if resp.StatusCode >= 200 {
+			break
+		}
+		if i == maxInfos || resp.StatusCode == http.StatusSwitchingProtocols {
+			return res, false, fmt.Errorf("unexpected answer %s", resp.Status)
+		}
+	}
+	defer resp.Body.Close()
+	res.report = parseLoad(resp.Header.Get("X-Load"))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	if err != nil {
+		return res, false, err
+	}
+	if len(body) > maxBody {
+		return res, false, errors.New("the answer is too long")
+	}
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		res.code, res.header, res.body = decide.OK, resp.Header, body
+	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
+		resp.Header.Get("X-Not-Run") == "1":
+		res.code = decide.Full
+	default:
+		res.code = decide.ServerError
+	}
+	return res, !resp.Close && c.read.Buffered() == 0, nil
+}
+
+// parseLoad reads a load report. One that is malformed in any part is ignored
+// as a whole: half a report says less than the count it would replace.
+func parseLoad(s string) *decide.Report {
+	if s == "" {
+		return nil
+	}
+	var r decide.Report
+	known := false
+	for part := range strings.SplitSeq(s, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if !ok {
+			return nil
+		}
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil || math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+			return nil
+		}
+		known = wire.SetReportField(&r, name, v) || known
+	}
+	if !known {
+		return nil
+	}
+	return &r
+}
--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,92 @@
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"sumacledge/decide"
+	"sumacledge/internal/wire"
+)
+
+// What a node without stated limits may use.
+const (
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	leastSockets    = 64 // below this no node can serve
+)
+
+// Config is what a node is told at its start.
+type Config struct {
+	Name      string
+	Listen    string // where clients connect
+	Discovery string // where the list of servers comes from
+	Seed      int64
+	MemoryMB  int
+	Sockets   int // file descriptors
+	Settings  decide.Settings
+
+	known list // the servers as the node last had them
+}
+
+// LoadConfig reads the configuration file at path.
+func LoadConfig(path string) (Config, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("config: %w", err)
+	}
+	c, err := parseConfig(raw)
+	if err != nil {
+		return Config{}, fmt.Errorf("config %s: %w", path, err)
+	}
+	return c, nil
+}
+
+func parseConfig(raw []byte) (Config, error) {
+	var in struct {
+		Name      string `json:"name"`
+		Listen    string `json:"listen"`
+		Discovery string `json:"discovery"`
+		Seed      string `json:"seed"`
+		Limits    struct {
+			MemoryMB int `json:"memory_mb"`
+			Sockets  int `json:"sockets"`
+		} `json:"limits"`
+		Known    list            `json:"known"`
+		Settings json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(raw, &in); err != nil {
+		return Config{}, err
+	}
+	if in.Settings == nil {
+		return Config{}, errors.New("settings are missing")
+	}
+	settings, err := wire.DecodeSettings(in.Settings)
+	if err != nil {
+		return Config{}, fmt.Errorf("settings: %w", err)
+	}
+	for _, a := range []struct{ key, value string }{{"listen", in.Listen}, {"discovery", in.Discovery}} {
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			return Config{}, fmt.Errorf("%s: %w", a.key, err)
+		}
+	}
+	seed, err := strconv.ParseUint(in.Seed, 16, 64)
+	if err != nil {
+		return Config{}, fmt.Errorf("seed: %w", err)
+	}
+	c := Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Seed: int64(seed),
+		MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets, Settings: settings, known: in.Known}
+	if c.MemoryMB <= 0 {
+		c.MemoryMB = defaultMemoryMB
+	}
+	if c.Sockets <= 0 {
+		c.Sockets = defaultSockets
+	}
+	if c.Sockets < leastSockets {
+		return Config{}, fmt.Errorf("limits: %d sockets are too few, want %d or more", c.Sockets, leastSockets)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/node/frontend.go
@@ -0,0 +1,240 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sumacledge/decide"
+)
+
+const (
+	lingerTime  = 600 * time.Millisecond // after SIGTERM new connections still come for a while
+	finishTime  = 10 * time.Second       // for what is open then; deadlines end it sooner
+	headTime    = 5 * time.Second        // for a request's head
+	readTime    = 10 * time.Second       // for a whole request
+	writeTime   = 5 * time.Second        // for an answer
+	idleTime    = 2 * time.Minute        // for a connection between requests
+	maxIDLength = 128
+	maxPatience = time.Hour
+)
+
+// frontend takes clients' requests and writes their answers.
+type frontend struct {
+	node     *Node
+	most     int // connections
+	methods  map[string]decide.Effect
+	ready    atomic.Bool
+	draining atomic.Bool
+}
+
+func newFrontend(n *Node, most int) *frontend {
+	f := &frontend{node: n, most: most, methods: map[string]decide.Effect{}}
+	for _, c := range n.cfg.Settings.Classes {
+		f.methods[c.Name] = c.Effect
+	}
+	return f
+}
+
+// serve takes requests until ctx ends. Then it goes on for a while, as the
+// front sends new connections until it has noticed, but asks each client to
+// close; at last it finishes what is open.
+func (f *frontend) serve(ctx context.Context, ln net.Listener) error {
+	srv := &http.Server{Handler: f, ReadHeaderTimeout: headTime, ReadTimeout: readTime, IdleTimeout: idleTime,
+		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(f.node.log.Handler(), slog.LevelDebug)}
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Serve(limitListener(ln, f.most)) }()
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serving clients: %w", err)
+	case <-ctx.Done():
+	}
+	f.draining.Store(true)
+	sleep(context.WithoutCancel(ctx), lingerTime)
+	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTime)
+	defer cancel()
+	if err := srv.Shutdown(end); err != nil {
+		return fmt.Errorf("finishing requests: %w", err)
+	}
+	return nil
+}
+
+// ServeHTTP answers the health checks and passes requests to the loop.
+func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	switch r.URL.Path {
+	case "/health/ready":
+		if !f.ready.Load() || f.draining.Load() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		fallthrough
+	case "/health/live":
+		io.WriteString(w, "ok\n")
+		return
+	}
+	req, event, status, err := f.read(w, r)
+	if err != nil {
+		http.Error(w, err.Error(), status)
+		return
+	}
+	f.node.post(func() { f.node.open(req, event) })
+	select {
+	case a := <-req.answer:
+		write(w, a)
+	case <-r.Context().Done():
+		f.node.post(func() { f.node.abandon(req) })
+	case <-f.node.ended:
+		http.Error(w, "the node has ended", http.StatusBadGateway)
+	}
+}
+
+// read checks a request. The status goes with the error.
+func (f *frontend) read(w http.ResponseWriter, r *http.Request) (*request, decide.RequestArrived, int, error) {
+	arrived := time.Now() // the body may take a while, and the client's clock runs
+	e := decide.RequestArrived{Class: r.Header.Get("X-Class"), Tenant: r.Header.Get("X-Tenant"),
+		Repeat: r.Header.Get("X-Retry") == "1"}
+	bad := func(status int, format string, args ...any) (*request, decide.RequestArrived, int, error) {
+		return nil, e, status, fmt.Errorf(format, args...)
+	}
+	id := r.Header.Get("X-Request-Id")
+	if id == "" || len(id) > maxIDLength || len(r.Header.Values("X-Request-Id")) > 1 {
+		return bad(http.StatusBadRequest, "want one X-Request-Id of at most %d bytes", maxIDLength)
+	}
+	e.ID = decide.RequestID(id)
+	effect, known := f.methods[e.Class]
+	if !known {
+		return bad(http.StatusBadRequest, "unknown X-Class %q", e.Class)
+	}
+	// The method tells the server what a repeat would do, so it must agree
+	// with what the module believes.
+	_, keyed := r.Header["Idempotency-Key"]
+	want := http.MethodPost
+	if effect == decide.Safe {
+		want = http.MethodGet
+	}
+	if r.Method != want {
+		return bad(http.StatusMethodNotAllowed, "class %s wants %s", e.Class, want)
+	}
+	if keyed != (effect == decide.Keyed) && effect != decide.Safe {
+		return bad(http.StatusBadRequest, "class %s and Idempotency-Key do not agree", e.Class)
+	}
+	patience, err := seconds(r.Header.Get("X-Deadline"))
+	if err != nil {
+		return bad(http.StatusBadRequest, "X-Deadline: %w", err)
+	}
+	if hint, err := strconv.ParseFloat(r.Header.Get("X-Cost-Hint"), 64); err == nil && hint >= 0 && hint < 1e12 {
+		e.WorkHint, e.HasHint = time.Duration(hint*float64(time.Microsecond)), true
+	}
+	e.Key = r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	var long *http.MaxBytesError
+	switch {
+	case errors.As(err, &long):
+		return bad(http.StatusRequestEntityTooLarge, "the body is over %d bytes", maxBody)
+	case err != nil:
+		return bad(http.StatusBadRequest, "reading the body: %w", err)
+	}
+	u := url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}
+	return &request{id: e.ID, deadline: arrived.Add(patience - answerMargin), answer: make(chan answer, 1),
+		out: &outbound{method: r.Method, url: &u, host: r.Host, header: endToEnd(r.Header), body: body}}, e, 0, nil
+}
+
+func seconds(s string) (time.Duration, error) {
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil {
+		return 0, err
+	}
+	if !(v > 0) || math.IsInf(v, 0) { // NaN is not over 0 either
+		return 0, fmt.Errorf("%v is no time to wait", v)
+	}
+	return time.Duration(math.Min(v, maxPatience.Seconds()) * float64(time.Second)), nil
+}
+
+// perHop lists the headers that concern one connection only.
+var perHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Expect", "Content-Length", "X-Load", "X-Not-Run"}
+
+// endToEnd copies the headers that are passed on.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	for _, line := range h.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			if name = http.CanonicalHeaderKey(strings.TrimSpace(name)); !slices.Contains(vital, name) {
+				out.Del(name)
+			}
+		}
+	}
+	for _, name := range perHop {
+		out.Del(name)
+	}
+	return out
+}
+
+// vital headers stay, whatever a client's Connection header says: without
+// them a server could not tell a repeat.
+var vital = []string{"X-Request-Id", "Idempotency-Key"}
+
+func write(w http.ResponseWriter, a answer) {
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTime))
+	h := w.Header()
+	for name, values := range endToEnd(a.header) {
+		h[name] = values
+	}
+	if a.status != http.StatusOK {
+		a.body = []byte(http.StatusText(a.status) + "\n")
+		h.Set("Content-Type", "text/plain; charset=utf-8")
+	}
+	if a.holdOff > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(a.holdOff.Seconds(), 'f', 3, 64))
+	}
+	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.WriteHeader(a.status)
+	w.Write(a.body) // if it fails, the client has gone
+}
+
+// limited holds accepted connections to a number, so that clients leave
+// descriptors for the servers. The others wait in the listener's queue.
+type limited struct {
+	net.Listener
+	slots chan struct{}
+}
+
+func limitListener(ln net.Listener, most int) net.Listener {
+	return &limited{Listener: ln, slots: make(chan struct{}, most)}
+}
+
+func (l *limited) Accept() (net.Conn, error) {
+	l.slots <- struct{}{}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	return &limitedConn{Conn: c, free: sync.OnceFunc(func() { <-l.slots })}, nil
+}
+
+type limitedConn struct {
+	net.Conn
+	free func()
+}
+
+func (c *limitedConn) Close() error {
+	err := c.Conn.Close()
+	c.free()
+	return err
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -238,26 +238,7 @@
 	known := false
 	for name, raw := range values {
 		v, err := strconv.ParseFloat(string(raw), 64)
-		if err != nil {
-			continue
-		}
-		switch name {
-		case "active":
-			r.InFlight, r.HasInFlight = v, true
-		case "waiting":
-			r.Queue, r.HasQueue = v, true
-		case "cpu":
-			r.Utilisation = v
-		case "avg_ms":
-			r.ServiceTime = time.Duration(v * float64(time.Millisecond))
-		case "rps":
-			r.Rate = v
-		case "err_rps":
-			r.ErrorRate = v
-		default:
-			continue
-		}
-		known = true
+		known = err == nil && SetReportField(&r, name, v) || known
 	}
 	if !known {
 		return nil
@@ -265,6 +246,28 @@
 	return &r
 }
 
+// SetReportField sets the value of a load report that the simulator, or a
+// server on a socket, calls so. It tells whether the name is known.
+func SetReportField(r *decide.Report, name string, v float64) bool {
+	switch name {
+	case "active", "inflight":
+		r.InFlight, r.HasInFlight = v, true
+	case "waiting", "queue":
+		r.Queue, r.HasQueue = v, true
+	case "cpu", "util":
+		r.Utilisation = v
+	case "avg_ms", "latency_ms":
+		r.ServiceTime = time.Duration(v * float64(time.Millisecond))
+	case "rps", "qps":
+		r.Rate = v
+	case "err_rps", "eps":
+		r.ErrorRate = v
+	default:
+		return false
+	}
+	return true
+}
+
 var listKinds = map[string]decide.ListKind{
 	"D": decide.ListChanges, "F": decide.ListFull, "C": decide.ListCached, "X": decide.ListFailed,
 }
@@ -326,96 +329,8 @@
 
 func decodeStart(raw json.RawMessage) (Happening, error) {
 	var e struct {
-		Seed    *json.Number `json:"seed"`
-		Profile *struct {
-			Accounts []struct {
-				Name     string  `json:"name"`
-				Quota    float64 `json:"quota_per_s"`
-				Fraction float64 `json:"fraction"`
-			} `json:"accounts"`
-			Balancers int `json:"balancers"`
-			Caps      struct {
-				Cancel         bool    `json:"cancel"`
-				ConnIdle       int64   `json:"conn_idle_ns"`
-				ConnectTimeout int64   `json:"connect_timeout_ns"`
-				CPUPerRequest  float64 `json:"cpu_us_per_request"`
-				CPUPerSecond   float64 `json:"cpu_us_per_s"`
-				MaxAttempts    int     `json:"max_attempts"`
-				MaxRetryAfter  int64   `json:"max_retry_after_ns"`
-				MayDuplicate   bool    `json:"may_duplicate"`
-				MostHeld       int     `json:"most_held"`
-				Multiplex      int     `json:"multiplex"`
-				Peers          bool    `json:"peers"`
-				Probes         bool    `json:"probes"`
-				RetryAfter     bool    `json:"retry_after"`
-			} `json:"caps"`
-			Charges struct {
-				Connection float64 `json:"connection"`
-				CrossZone  float64 `json:"cross_zone"`
-				Fleet      float64 `json:"fleet"`
-				Handshake  float64 `json:"handshake"`
-				LateFail   float64 `json:"late_fail"`
-				Lines      float64 `json:"membership_mode"`
-				Moves      float64 `json:"moves"`
-				Origin     float64 `json:"origin"`
-				Peer       float64 `json:"peer"`
-				Probe      float64 `json:"probe"`
-				Waste      float64 `json:"waste"`
-			} `json:"charges"`
-			Classes []struct {
-				AimStretch float64  `json:"aim_stretch"`
-				Aim        int64    `json:"aim_ns"`
-				AllowedOn  []string `json:"allowed_on"`
-				Dedup      int64    `json:"dedup_window_ns"`
-				Domains    []string `json:"failure_domains_open"`
-				Effect     string   `json:"effect"`
-				GiveUp     int64    `json:"give_up_ns"`
-				Importance float64  `json:"importance"`
-				KeyScope   string   `json:"key_scope"`
-				LateWorth  float64  `json:"late_worth"`
-				Name       string   `json:"name"`
-				Streamed   bool     `json:"streamed"`
-			} `json:"classes"`
-			Habits struct {
-				MarksRetry bool `json:"marks_retry"`
-			} `json:"client_habits"`
-			Domains []string `json:"failure_domains"`
-			Family  string   `json:"family"`
-			Goal    struct {
-				Whole       float64 `json:"whole"`
-				WorstClass  float64 `json:"worst_class"`
-				WorstTenant float64 `json:"worst_tenant"`
-				WorstWindow float64 `json:"worst_window"`
-			} `json:"goal"`
-			Kinds      []string `json:"kinds"`
-			Membership string   `json:"membership_mode"`
-			OverShare  float64  `json:"over_share_worth"`
-			Report     struct {
-				Fields []string `json:"fields"`
-				How    string   `json:"how"`
-			} `json:"report"`
-			Slot      int `json:"slot_no"`
-			Specifics struct {
-				PassesDeadline bool `json:"passes_deadline"`
-				WarmKeys       bool `json:"warm_keys"`
-			} `json:"specifics"`
-			Invariants struct {
-				AnswerSlack    int64   `json:"answer_slack_ns"`
-				AskWithin      int64   `json:"ask_within_ns"`
-				ColdFrom       float64 `json:"cold_from"`
-				Cold           int64   `json:"cold_ns"`
-				DrainClose     int64   `json:"drain_close_ns"`
-				DrainGrace     int64   `json:"drain_grace_ns"`
-				OverloadFactor float64 `json:"overload_factor"`
-				TipAfter       int64   `json:"tip_after_ns"`
-			} `json:"invariants"`
-			Tick       int64    `json:"tick_ns"`
-			Tier       int      `json:"tier"`
-			Tiers      []string `json:"tiers"`
-			WeightKind string   `json:"weight_kind"`
-			WorthBy    string   `json:"worth_by"`
-			Zone       string   `json:"zone"`
-		} `json:"profile_data"`
+		Seed    *json.Number    `json:"seed"`
+		Profile json.RawMessage `json:"profile_data"`
 	}
 	if err := json.Unmarshal(raw, &e); err != nil {
 		return Happening{}, err
@@ -434,7 +349,111 @@
 		}
 		seed = math.Float64bits(f)
 	}
-	p := e.Profile
+	s, err := DecodeSettings(e.Profile)
+	if err != nil {
+		return Happening{}, err
+	}
+	return Happening{Start: &Start{Settings: s, Seed: int64(seed)}}, nil
+}
+
+// DecodeSettings reads the settings of an instance, which the simulator and a
+// real node's configuration give in the same form.
+func DecodeSettings(raw json.RawMessage) (decide.Settings, error) {
+	var p *struct {
+		Accounts []struct {
+			Name     string  `json:"name"`
+			Quota    float64 `json:"quota_per_s"`
+			Fraction float64 `json:"fraction"`
+		} `json:"accounts"`
+		Balancers int `json:"balancers"`
+		Caps      struct {
+			Cancel         bool    `json:"cancel"`
+			ConnIdle       int64   `json:"conn_idle_ns"`
+			ConnectTimeout int64   `json:"connect_timeout_ns"`
+			CPUPerRequest  float64 `json:"cpu_us_per_request"`
+			CPUPerSecond   float64 `json:"cpu_us_per_s"`
+			MaxAttempts    int     `json:"max_attempts"`
+			MaxRetryAfter  int64   `json:"max_retry_after_ns"`
+			MayDuplicate   bool    `json:"may_duplicate"`
+			MostHeld       int     `json:"most_held"`
+			Multiplex      int     `json:"multiplex"`
+			Peers          bool    `json:"peers"`
+			Probes         bool    `json:"probes"`
+			RetryAfter     bool    `json:"retry_after"`
+		} `json:"caps"`
+		Charges struct {
+			Connection float64 `json:"connection"`
+			CrossZone  float64 `json:"cross_zone"`
+			Fleet      float64 `json:"fleet"`
+			Handshake  float64 `json:"handshake"`
+			LateFail   float64 `json:"late_fail"`
+			Lines      float64 `json:"membership_mode"`
+			Moves      float64 `json:"moves"`
+			Origin     float64 `json:"origin"`
+			Peer       float64 `json:"peer"`
+			Probe      float64 `json:"probe"`
+			Waste      float64 `json:"waste"`
+		} `json:"charges"`
+		Classes []struct {
+			AimStretch float64  `json:"aim_stretch"`
+			Aim        int64    `json:"aim_ns"`
+			AllowedOn  []string `json:"allowed_on"`
+			Dedup      int64    `json:"dedup_window_ns"`
+			Domains    []string `json:"failure_domains_open"`
+			Effect     string   `json:"effect"`
+			GiveUp     int64    `json:"give_up_ns"`
+			Importance float64  `json:"importance"`
+			KeyScope   string   `json:"key_scope"`
+			LateWorth  float64  `json:"late_worth"`
+			Name       string   `json:"name"`
+			Streamed   bool     `json:"streamed"`
+		} `json:"classes"`
+		Habits struct {
+			MarksRetry bool `json:"marks_retry"`
+		} `json:"client_habits"`
+		Domains []string `json:"failure_domains"`
+		Family  string   `json:"family"`
+		Goal    struct {
+			Whole       float64 `json:"whole"`
+			WorstClass  float64 `json:"worst_class"`
+			WorstTenant float64 `json:"worst_tenant"`
+			WorstWindow float64 `json:"worst_window"`
+		} `json:"goal"`
+		Kinds      []string `json:"kinds"`
+		Membership string   `json:"membership_mode"`
+		OverShare  float64  `json:"over_share_worth"`
+		Report     struct {
+			Fields []string `json:"fields"`
+			How    string   `json:"how"`
+		} `json:"report"`
+		Slot      int `json:"slot_no"`
+		Specifics struct {
+			PassesDeadline bool `json:"passes_deadline"`
+			WarmKeys       bool `json:"warm_keys"`
+		} `json:"specifics"`
+		Invariants struct {
+			AnswerSlack    int64   `json:"answer_slack_ns"`
+			AskWithin      int64   `json:"ask_within_ns"`
+			ColdFrom       float64 `json:"cold_from"`
+			Cold           int64   `json:"cold_ns"`
+			DrainClose     int64   `json:"drain_close_ns"`
+			DrainGrace     int64   `json:"drain_grace_ns"`
+			OverloadFactor float64 `json:"overload_factor"`
+			TipAfter       int64   `json:"tip_after_ns"`
+		} `json:"invariants"`
+		Tick       int64    `json:"tick_ns"`
+		Tier       int      `json:"tier"`
+		Tiers      []string `json:"tiers"`
+		WeightKind string   `json:"weight_kind"`
+		WorthBy    string   `json:"worth_by"`
+		Zone       string   `json:"zone"`
+	}
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return decide.Settings{}, err
+	}
+	if p == nil {
+		return decide.Settings{}, missing("settings")
+	}
 	for _, c := range []struct {
 		key, value string
 		known      bool
@@ -445,7 +464,7 @@
 		{"worth_by", p.WorthBy, p.WorthBy == "request" || p.WorthBy == "work"},
 	} {
 		if c.value != "" && !c.known {
-			return Happening{}, fmt.Errorf("unknown %s %q", c.key, c.value)
+			return decide.Settings{}, fmt.Errorf("unknown %s %q", c.key, c.value)
 		}
 	}
 	s := decide.Settings{Nodes: p.Balancers, Self: p.Slot, Zone: p.Zone, Zones: p.Domains, Kinds: p.Kinds,
@@ -474,11 +493,11 @@
 	for _, c := range p.Classes {
 		effect, ok := effects[c.Effect]
 		if !ok {
-			return Happening{}, fmt.Errorf("class %s: unknown effect %q", c.Name, c.Effect)
+			return decide.Settings{}, fmt.Errorf("class %s: unknown effect %q", c.Name, c.Effect)
 		}
 		scope, ok := scopes[c.KeyScope]
 		if !ok && (c.KeyScope != "" || effect == decide.Keyed) {
-			return Happening{}, fmt.Errorf("class %s: unknown key_scope %q", c.Name, c.KeyScope)
+			return decide.Settings{}, fmt.Errorf("class %s: unknown key_scope %q", c.Name, c.KeyScope)
 		}
 		s.Classes = append(s.Classes, decide.Class{Name: c.Name, Worth: c.Importance, Aim: time.Duration(c.Aim),
 			AimStretch: c.AimStretch, Deadline: time.Duration(c.GiveUp), LateWorth: c.LateWorth, Effect: effect,
@@ -488,5 +507,5 @@
 	for _, t := range p.Accounts {
 		s.Tenants = append(s.Tenants, decide.Tenant{Name: t.Name, Quota: t.Quota, Share: t.Fraction})
 	}
-	return Happening{Start: &Start{Settings: s, Seed: int64(seed)}}, nil
+	return s, nil
 }
