--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -13,7 +13,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"sumacledge/internal/node"
+	"indigotack/internal/node"
 )
 
 func main() {
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -10,8 +10,8 @@
 	"io"
 	"os"
 
-	"sumacledge/decide"
-	"sumacledge/internal/wire"
+	"indigotack/decide"
+	"indigotack/internal/wire"
 )
 
 func main() {
--- a/decide/behaviour_test.go
+++ b/decide/behaviour_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"sumacledge/decide"
+	"indigotack/decide"
 )
 
 // rig feeds one module with a fleet of servers whose delays the test sets.
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"sumacledge/decide"
+	"indigotack/decide"
 )
 
 // A node asks the module where a request goes, with no wire in between.
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"sumacledge/decide"
+	"indigotack/decide"
 )
 
 const testRate = 60 // arrivals a second
--- a/decide/world_test.go
+++ b/decide/world_test.go
@@ -10,7 +10,7 @@
 	"sort"
 	"time"
 
-	"sumacledge/decide"
+	"indigotack/decide"
 )
 
 type sentAttempt struct {
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -18,8 +18,8 @@
 	"syscall"
 	"time"
 
-	"sumacledge/decide"
-	"sumacledge/internal/wire"
+	"indigotack/decide"
+	"indigotack/internal/wire"
 )
 
 const (
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -8,8 +8,8 @@
 	"os"
 	"strconv"
 
-	"sumacledge/decide"
-	"sumacledge/internal/wire"
+	"indigotack/decide"
+	"indigotack/internal/wire"
 )
 
 // What a node without stated limits may use.
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -13,7 +13,7 @@
 	"net/http"
 	"time"
 
-	"sumacledge/decide"
+	"indigotack/decide"
 )
 
 const (
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -17,7 +17,7 @@
 	"sync/atomic"
 	"time"
 
-	"sumacledge/decide"
+	"indigotack/decide"
 )
 
 const (
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,7 +11,7 @@
 	"slices"
 	"time"
 
-	"sumacledge/decide"
+	"indigotack/decide"
 )
 
 const (
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"strconv"
 
-	"sumacledge/decide"
+	"indigotack/decide"
 )
 
 // Reply holds the actions of one instance.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,7 +10,7 @@
 	"strconv"
 	"time"
 
-	"sumacledge/decide"
+	"indigotack/decide"
 )
 
 // The codes by which the wire names outcomes.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"sumacledge/decide"
+	"indigotack/decide"
 )
 
 const start = `{"up":{"seed":9007199254740993,"profile_data":{"accounts":[{"name":"a","quota_per_s":5,"fraction":0.5}],
