--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -55,9 +55,18 @@
 	pool   *pool
 	budget io.LimitedReader // what one answer may take
 	read   *bufio.Reader
+	broken error // how reading ended, if the connection did
 	idleAt time.Time
 }
 
+// Read notes how the connection ended, which tells a break from an answer
+// that can't be read, or is longer than its budget.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.broken = err
+	return n, err
+}
+
 func newPool(s decide.Settings, most int) *pool {
 	p := &pool{most: most, backends: map[decide.ServerID]*backend{},
 		dialer: net.Dialer{Timeout: s.ConnectTimeout, KeepAlive: -1}}
@@ -145,7 +154,7 @@
 		return nil, err
 	}
 	c = &conn{Conn: raw, of: b, pool: p}
-	c.budget.R = raw
+	c.budget.R = c
 	c.read = bufio.NewReader(&c.budget)
 	return c, nil
 }
@@ -297,13 +306,13 @@
 		if sent < len(msg) {
 			return result{code: decide.ConnectFailed}
 		}
-		return result{code: ending(ctx, err)}
+		return result{code: ending(ctx, err)} // a last byte that left with an error may have come
 	}
 	c.budget.N = maxHead + maxBody
 	res, clean, err := c.receive(o.method)
 	if err != nil {
 		c.discard()
-		return result{code: ending(ctx, err), report: res.report}
+		return result{code: ending(ctx, c.broken), report: res.report}
 	}
 	// Once the watch on ctx cannot be stopped it may yet spoil the deadline of
 	// whoever has the connection next.
@@ -316,15 +325,14 @@
 }
 
 // ending is the outcome of an attempt whose answer did not come: its last byte
-// was written, so it may have run.
-func ending(ctx context.Context, err error) decide.OutcomeCode {
-	var op *net.OpError
+// was written, so it may have run. broken is how the connection ended, if it did.
+func ending(ctx context.Context, broken error) decide.OutcomeCode {
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		return decide.Cancelled
-	case ctx.Err() != nil, errors.Is(err, os.ErrDeadlineExceeded):
+	case ctx.Err() != nil, errors.Is(broken, os.ErrDeadlineExceeded):
 		return decide.TimedOut
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &op):
+	case broken != nil:
 		return decide.Reset
 	}
 	return decide.ServerError // it can't be read
--- /dev/null
+++ b/internal/node/backend_test.go
@@ -0,0 +1,388 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"indigotack/decide"
+)
+
+// enough bounds what a test waits for; a passing one takes far less.
+const enough = 30 * time.Second
+
+// backendServer runs a server on a loopback port: script gets each connection and its number.
+func backendServer(t *testing.T, script func(number int, c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for i := 0; ; i++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			c.SetDeadline(time.Now().Add(enough))
+			go func() {
+				defer c.Close()
+				script(i, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// readRequest reads a request with its body; nil if none comes.
+func readRequest(r *bufio.Reader) *http.Request {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return nil
+	}
+	io.Copy(io.Discard, req.Body)
+	return req
+}
+
+// refusing is an address where nothing listens.
+func refusing(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	return ln.Addr().String()
+}
+
+func testPool(address string) *pool {
+	p := newPool(decide.Settings{ConnectTimeout: enough, ConnIdle: time.Hour}, 100)
+	p.set(1, address, 0)
+	return p
+}
+
+func get(path string) *outbound {
+	return &outbound{method: http.MethodGet, url: &url.URL{Path: path}, host: "app.svc", header: http.Header{"X-Request-Id": {"q"}}}
+}
+
+func try(t *testing.T, p *pool, wait time.Duration) result {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	return p.attempt(ctx, 1, get("/api/x"))
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Load: inflight=7,queue=2\r\n\r\nhi"
+
+func TestOutcomes(t *testing.T) {
+	long := strings.Repeat("x", maxBody+maxHead+1)
+	for _, c := range []struct {
+		name, answer string // after it the server closes
+		want         decide.OutcomeCode
+	}{
+		{"served", okAnswer, decide.OK},
+		{"served after 1xx", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + okAnswer, decide.OK},
+		{"served in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", decide.OK},
+		{"error", "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", decide.ServerError},
+		{"503 with proof", "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", decide.Full},
+		{"504 with proof", "HTTP/1.1 504 Late\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", decide.Full},
+		{"503 with no proof", "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", decide.ServerError},
+		{"500 with a header that proves nothing", "HTTP/1.1 500 Oops\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", decide.ServerError},
+		{"no answer", "", decide.Reset},
+		{"half a head", "HTTP/1.1 200 OK\r\nContent-", decide.Reset},
+		{"half a body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi", decide.Reset},
+		{"no HTTP", "hello there\r\n\r\n", decide.ServerError},
+		{"body too long", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long), decide.ServerError},
+		{"head too long", "HTTP/1.1 200 OK\r\nX-Long: " + long + long, decide.ServerError},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := testPool(backendServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				if readRequest(r) != nil {
+					io.WriteString(conn, c.answer)
+				}
+			}))
+			got := try(t, p, enough)
+			if got.code != c.want {
+				t.Errorf("outcome %d, want %d", got.code, c.want)
+			}
+			if got.code == decide.OK && string(got.body) != "hi" {
+				t.Errorf("body %q", got.body)
+			}
+		})
+	}
+}
+
+func TestRefusedConnectionNeverRan(t *testing.T) {
+	if got := try(t, testPool(refusing(t)), enough); got.code != decide.ConnectFailed {
+		t.Errorf("outcome %d, want ConnectFailed", got.code)
+	}
+	p := newPool(decide.Settings{}, 100)
+	if got := try(t, p, enough); got.code != decide.ConnectFailed {
+		t.Errorf("outcome %d of a server not listed, want ConnectFailed", got.code)
+	}
+}
+
+// shortConn breaks before the last byte is written.
+type shortConn struct{ *net.TCPConn }
+
+func (c shortConn) Write(b []byte) (int, error) {
+	n, _ := c.TCPConn.Write(b[:len(b)-1])
+	return n, errors.New("broken")
+}
+
+func TestBreakBeforeTheLastByteNeverRan(t *testing.T) {
+	p := testPool(backendServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		for readRequest(r) != nil {
+			io.WriteString(conn, okAnswer)
+		}
+	}))
+	if got := try(t, p, enough); got.code != decide.OK {
+		t.Fatalf("outcome %d, want OK", got.code)
+	}
+	idle := p.backends[1].idle
+	idle[0].Conn = shortConn{idle[0].Conn.(*net.TCPConn)}
+	if got := try(t, p, enough); got.code != decide.ConnectFailed {
+		t.Errorf("outcome %d, want ConnectFailed", got.code)
+	}
+}
+
+// TestOneWriteOneOutcome: a connection that breaks under a request is an
+// outcome; the pool must not send the request again on another one.
+func TestOneWriteOneOutcome(t *testing.T) {
+	requests := make(chan int, 10)
+	p := testPool(backendServer(t, func(number int, conn net.Conn, r *bufio.Reader) {
+		for i := 0; readRequest(r) != nil; i++ {
+			requests <- number
+			if i == 1 {
+				return
+			}
+			io.WriteString(conn, okAnswer)
+		}
+	}))
+	if got := try(t, p, enough); got.code != decide.OK {
+		t.Fatalf("outcome %d, want OK", got.code)
+	}
+	if got := try(t, p, enough); got.code != decide.Reset {
+		t.Errorf("outcome %d, want Reset", got.code)
+	}
+	if n := len(requests); n != 2 {
+		t.Errorf("%d requests came, want 2", n)
+	}
+	for range 2 {
+		if number := <-requests; number != 0 {
+			t.Errorf("a request came on connection %d, want 0: the pool keeps connections", number)
+		}
+	}
+}
+
+func TestStaleConnectionIsNotUsed(t *testing.T) {
+	closed := make(chan struct{})
+	p := testPool(backendServer(t, func(number int, conn net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		io.WriteString(conn, okAnswer)
+		if number == 0 {
+			conn.Close()
+			close(closed)
+		} else {
+			readRequest(r)
+		}
+	}))
+	try(t, p, enough)
+	<-closed
+	// The close has been sent; wait until it shows on this side.
+	for until := time.Now().Add(enough); len(p.backends[1].idle) > 0 && silent(p.backends[1].idle[0].Conn); {
+		if time.Now().After(until) {
+			t.Fatal("the close never shows")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if got := try(t, p, enough); got.code != decide.OK {
+		t.Errorf("outcome %d, want OK on a new connection", got.code)
+	}
+}
+
+// TestUncleanConnectionIsNotPooled: what follows an answer would be taken for the next one's.
+func TestUncleanConnectionIsNotPooled(t *testing.T) {
+	for name, answer := range map[string]string{
+		"more than the answer": okAnswer + okAnswer,
+		"asks to close":        "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi",
+	} {
+		p := testPool(backendServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+			readRequest(r)
+			io.WriteString(conn, answer)
+			readRequest(r)
+		}))
+		if got := try(t, p, enough); got.code != decide.OK {
+			t.Errorf("%s: outcome %d, want OK", name, got.code)
+		}
+		if p.open != 0 || len(p.backends[1].idle) != 0 {
+			t.Errorf("%s: %d connections open, want 0", name, p.open)
+		}
+	}
+}
+
+// TestGivenUpAttemptIsClosed: the server must see the end of an attempt no
+// later than the module is told, or a further attempt could overlap it.
+func TestGivenUpAttemptIsClosed(t *testing.T) {
+	for name, want := range map[string]decide.OutcomeCode{"timed out": decide.TimedOut, "cancelled": decide.Cancelled} {
+		got, gone := make(chan struct{}), make(chan struct{})
+		p := testPool(backendServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+			readRequest(r)
+			close(got)
+			r.ReadByte() // until the node closes
+			close(gone)
+		}))
+		ctx, cancel := context.WithTimeout(context.Background(), enough)
+		if want == decide.TimedOut {
+			ctx, cancel = context.WithTimeout(context.Background(), 1500*time.Millisecond)
+		} else {
+			go func() { <-got; cancel() }()
+		}
+		res := p.attempt(ctx, 1, get("/api/x"))
+		cancel()
+		if res.code != want {
+			t.Errorf("%s: outcome %d, want %d", name, res.code, want)
+		}
+		if p.open != 0 {
+			t.Errorf("%s: the connection is still open", name)
+		}
+		select {
+		case <-gone:
+		case <-time.After(enough):
+			t.Errorf("%s: the server sees no end", name)
+		}
+	}
+}
+
+func TestRestartAndNewAddressDropOldConnections(t *testing.T) {
+	serve := func(name string) string {
+		return backendServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+			for readRequest(r) != nil {
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(name), name)
+			}
+		})
+	}
+	a, b := serve("a"), serve("b")
+	p := testPool(a)
+	try(t, p, enough)
+	p.set(1, a, 0)
+	if len(p.backends[1].idle) != 1 {
+		t.Error("the same entry again costs the connection")
+	}
+	p.set(1, a, 5)
+	if p.open != 0 {
+		t.Errorf("%d connections open after a restart, want 0", p.open)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), enough)
+	defer cancel()
+	c, err := p.get(ctx, 1) // in use while the address changes
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.set(1, b, 5)
+	c.release()
+	if p.open != 0 {
+		t.Errorf("%d connections open after a new address, want 0", p.open)
+	}
+	if got := try(t, p, enough); string(got.body) != "b" {
+		t.Errorf("%q answers, want b", got.body)
+	}
+}
+
+func TestIdleConnections(t *testing.T) {
+	address := backendServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		for readRequest(r) != nil {
+			io.WriteString(conn, okAnswer)
+		}
+	})
+	p := testPool(address)
+	p.most = 2
+	p.set(2, address, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), enough)
+	defer cancel()
+	var cs []*conn
+	for range 2 {
+		c, err := p.get(ctx, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		cs = append(cs, c)
+	}
+	if _, err := p.get(ctx, 2); err == nil {
+		t.Error("a third connection opens, over the limit of 2")
+	}
+	cs[1].release()
+	cs[0].release()
+	if c, _ := p.get(ctx, 1); c != cs[0] {
+		t.Error("the one used last is not taken first")
+	} else {
+		c.release()
+	}
+	c, err := p.get(ctx, 2) // makes room by closing the one that is idle longest
+	if err != nil || p.open != 2 || len(p.backends[1].idle) != 1 || p.backends[1].idle[0] != cs[0] {
+		t.Fatalf("at the limit an idle connection does not give way: %v", err)
+	}
+	c.release()
+	p.expire(time.Now().Add(p.maxIdle - time.Minute))
+	if p.open != 2 {
+		t.Errorf("%d connections open before their time is up, want 2", p.open)
+	}
+	p.closeIdle(2)
+	if p.open != 1 {
+		t.Errorf("%d connections open after closeIdle, want 1", p.open)
+	}
+	p.expire(time.Now().Add(p.maxIdle))
+	if p.open != 0 {
+		t.Errorf("%d connections open after their time, want 0", p.open)
+	}
+	if p.maxIdle >= time.Hour {
+		t.Errorf("connections stay idle for %v of the settings' 1h", p.maxIdle)
+	}
+}
+
+func TestRequestGoesOnUnchanged(t *testing.T) {
+	u := &url.URL{Path: "/api/a/b", RawPath: "/api/a%2Fb", RawQuery: "x=1&y=%20"}
+	o := &outbound{method: "POST", url: u, host: "app.svc", body: []byte("body"),
+		header: http.Header{"X-Request-Id": {"q"}, "Idempotency-Key": {"k"}, "X-Deadline": {"9"}}}
+	raw, err := o.bytes(1500 * time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := "POST /api/a%2Fb?x=1&y=%20 HTTP/1.1\r\nHost: app.svc\r\nContent-Length: 4\r\n" +
+		"Idempotency-Key: k\r\nX-Deadline: 1.500\r\nX-Request-Id: q\r\n\r\nbody"
+	if string(raw) != want {
+		t.Errorf("sent %q, want %q", raw, want)
+	}
+}
+
+func TestParseLoad(t *testing.T) {
+	for in, want := range map[string]*decide.Report{
+		"inflight=7,queue=2,util=0.5": {InFlight: 7, HasInFlight: true, Queue: 2, HasQueue: true, Utilisation: 0.5},
+		"queue=0":                     {HasQueue: true},
+		"active=3, waiting=1":         {InFlight: 3, HasInFlight: true, Queue: 1, HasQueue: true},
+		"inflight=1,new=5":            {InFlight: 1, HasInFlight: true},
+		"":                            nil,
+		"new=5":                       nil,
+		"inflight":                    nil,
+		"inflight=x":                  nil,
+		"inflight=NaN":                nil,
+		"inflight=-1":                 nil,
+		"inflight=1e999":              nil,
+		"inflight=7,queue=":           nil,
+		strings.Repeat("=,", 1<<10):   nil,
+	} {
+		got := parseLoad(in)
+		if (got == nil) != (want == nil) || got != nil && *got != *want {
+			t.Errorf("%q: %+v, want %+v", in, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/config_test.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const goodConfig = `{"name":"n3","listen":"127.0.0.1:5000","discovery":"127.0.0.1:8500","seed":"fc1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":100,"sockets":512},"peers":[],
+"known":{"index":41,"snapshot":true,"endpoints":[{"name":"s"}]},
+"settings":{"balancers":5,"slot_no":3,"caps":{"connect_timeout_ns":120000000,"max_attempts":4},
+"classes":[{"name":"saldo","effect":"retryable","aim_ns":250000000}],"membership_mode":"pushed"}}`
+
+func TestLoadConfig(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(goodConfig), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c, err := LoadConfig(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n3" || c.Listen != "127.0.0.1:5000" || c.Discovery != "127.0.0.1:8500" || c.Sockets != 512 || c.MemoryMB != 100 ||
+		uint64(c.Seed) != 0xfc1f30d27a5be964 || c.known.Index != 41 || len(c.known.Entries) != 1 ||
+		c.Settings.Self != 3 || c.Settings.ConnectTimeout != 120*time.Millisecond || c.Settings.Classes[0].Name != "saldo" {
+		t.Errorf("%+v", c)
+	}
+	if _, err := LoadConfig(path + "x"); err == nil {
+		t.Error("a missing file is no error")
+	}
+}
+
+func TestBadConfig(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{goodConfig, "", "unexpected end"},
+		{goodConfig, "[]", "cannot unmarshal"},
+		{`"settings"`, `"other"`, "settings are missing"},
+		{`"pushed"`, `"odd"`, "membership_mode"},
+		{`"retryable"`, `"odd"`, "unknown effect"},
+		{`"127.0.0.1:5000"`, `"127.0.0.1"`, "listen"},
+		{`"127.0.0.1:8500"`, `""`, "discovery"},
+		{`"fc1f30d27a5be964"`, `"seed"`, "seed"},
+		{`512`, `8`, "sockets"},
+	} {
+		_, err := parseConfig([]byte(strings.Replace(goodConfig, c.old, c.new, 1)))
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s for %s: error %v, want one line with %q", c.new, c.old, err, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/discovery_test.go
@@ -0,0 +1,177 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"indigotack/decide"
+)
+
+var quiet = slog.New(slog.DiscardHandler)
+
+func entryJSON(name, address, status string) string {
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","type":"m2","group":3,"status":%q,"weight":1.5,"since_ms":7}`, name, address, status)
+}
+
+func TestMalformedEntriesAreSkipped(t *testing.T) {
+	var l list
+	err := json.Unmarshal([]byte(`{"index":4,"snapshot":true,"endpoints":[`+strings.Join([]string{
+		entryJSON("good", "127.0.0.1:1", "ready"), `5`, `null`, `{"name":5}`, entryJSON("", "127.0.0.1:1", "ready"),
+		entryJSON("odd", "127.0.0.1:1", "odd"), entryJSON("nowhere", "127.0.0.1", "ready"), entryJSON("left", "", "gone"),
+		`{"name":"late","address":"127.0.0.1:1","status":"ready","since_ms":-1}`}, ",")+`]}`), &l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := l.entries(quiet)
+	want := entry{Name: "good", Address: "127.0.0.1:1", Zone: "a", Kind: "m2", Cell: 3, Status: "ready", Weight: 1.5, SinceMS: 7}
+	if len(got) != 2 || got[0] != want || got[1].Name != "left" {
+		t.Errorf("%+v, want good and left", got)
+	}
+}
+
+func TestIDs(t *testing.T) {
+	a, b := newIDs(), newIDs()
+	if a.of("s-1") != a.of("s-1") || a.of("s-1") == a.of("s-2") {
+		t.Error("one name has two numbers, or two names one")
+	}
+	if b.of("s-2") != a.of("s-2") {
+		t.Error("numbers depend on the order of the names")
+	}
+	a.hash = func(s string) uint32 { return uint32(strings.Count(s, "\x00")) }
+	x, y := a.of("x"), a.of("y")
+	if x == y || a.of("x") != x || a.of("y") != y {
+		t.Errorf("names with one hash get numbers %d and %d", x, y)
+	}
+	a.forget("x")
+	if a.of("z") != x {
+		t.Error("a forgotten number stays taken")
+	}
+}
+
+// TestFollowSurvives: a discovery that fails in one way after another gets
+// the version last seen each time, and its news arrive.
+func TestFollowSurvives(t *testing.T) {
+	froms := make(chan string, 100)
+	calls := 0
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		froms <- r.URL.Query().Get("from")
+		calls++
+		switch calls {
+		case 1:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case 2:
+			panic(http.ErrAbortHandler) // a reset
+		case 3:
+			fmt.Fprint(w, `{"index":`)
+		case 4:
+			<-r.Context().Done() // silent until the node gives up
+		case 5:
+			fmt.Fprintf(w, `{"index":43,"snapshot":false,"endpoints":[%s]}`, entryJSON("s", "127.0.0.1:1", "draining"))
+		default:
+			<-r.Context().Done()
+		}
+	}))
+	defer s.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	lists := make(chan list, 10)
+	d := newDiscovery(s.Listener.Addr().String(), false, 41, quiet, func(l list) { lists <- l }, func() { t.Error("told a failure") })
+	d.hold = time.Millisecond
+	go d.follow(ctx)
+	select {
+	case l := <-lists:
+		if l.Index != 43 || l.Snapshot || len(l.Entries) != 1 {
+			t.Errorf("%+v", l)
+		}
+	case <-time.After(enough):
+		t.Fatal("no list comes")
+	}
+	for i := range 6 {
+		want := "41"
+		if i == 5 {
+			want = "43"
+		}
+		if from := <-froms; from != want {
+			t.Errorf("call %d is from %s, want %s", i+1, from, want)
+		}
+	}
+}
+
+// TestAskedDiscovery: where the module asks, it is told of a failure and asks again itself.
+func TestAskedDiscovery(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Query().Get("from") {
+		case "": // the whole list
+			fmt.Fprint(w, `{"index":42,"snapshot":true,"endpoints":[]}`)
+		case "41":
+			fmt.Fprint(w, `{"index":50,"snapshot":false,"endpoints":[]}`)
+		default:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	defer s.Close()
+	lists, failures := make(chan list, 10), make(chan bool, 10)
+	d := newDiscovery(s.Listener.Addr().String(), true, 41, quiet, func(l list) { lists <- l }, func() { failures <- true })
+	for _, c := range []struct {
+		fetch bool
+		index uint64
+	}{{false, 50}, {true, 42}} {
+		d.ask(context.Background(), c.fetch, true)
+		if l := <-lists; l.Index != c.index {
+			t.Errorf("list %d, want %d", l.Index, c.index)
+		}
+		<-failures
+	}
+	if len(lists) != 0 || len(failures) != 0 {
+		t.Error("a failed watch goes on by itself")
+	}
+}
+
+func TestSinceOnTheModulesClock(t *testing.T) {
+	n := New(testConfig("127.0.0.1:1"), quiet)
+	before := time.Now().UnixMilli()
+	if now := n.now(); now < time.Duration(before)*time.Millisecond || now > time.Duration(before)*time.Millisecond+enough {
+		t.Errorf("the module's clock reads %v at Unix time %d ms", now, before)
+	}
+}
+
+func TestFollowSetsAddresses(t *testing.T) {
+	n := New(testConfig("127.0.0.1:1"), quiet)
+	apply := func(kind decide.ListKind, entries ...string) {
+		l := list{Index: 1, Snapshot: kind != decide.ListChanges}
+		for _, e := range entries {
+			l.Entries = append(l.Entries, json.RawMessage(e))
+		}
+		n.follow(l, kind)
+	}
+	check := func(when string, want map[string]string) {
+		t.Helper()
+		if len(n.listed) != len(want) || len(n.backends.backends) != len(want) {
+			t.Errorf("%s: %d listed, %d in the pool, want %d", when, len(n.listed), len(n.backends.backends), len(want))
+		}
+		for name, address := range want {
+			if b := n.backends.backends[n.listed[name]]; b == nil || b.address != address {
+				t.Errorf("%s: %s is at %+v, want %s", when, name, b, address)
+			}
+		}
+		if n.front.ready.Load() != (len(want) > 0) {
+			t.Errorf("%s: ready is wrong", when)
+		}
+	}
+	check("at the start", nil)
+	apply(decide.ListCached, entryJSON("a", "127.0.0.1:1", "ready"), entryJSON("b", "127.0.0.1:2", "draining"))
+	check("cached", map[string]string{"a": "127.0.0.1:1", "b": "127.0.0.1:2"})
+	apply(decide.ListChanges, entryJSON("a", "127.0.0.1:3", "ready"), entryJSON("b", "", "gone"), entryJSON("c", "", "gone"))
+	check("changes", map[string]string{"a": "127.0.0.1:3"})
+	apply(decide.ListFull, entryJSON("d", "127.0.0.1:4", "ready"))
+	check("full", map[string]string{"d": "127.0.0.1:4"})
+	apply(decide.ListFull)
+	check("empty", nil)
+}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -22,7 +22,7 @@
 
 const (
 	lingerTime  = 600 * time.Millisecond // after SIGTERM new connections still come for a while
-	finishTime  = 10 * time.Second       // for what is open then; deadlines end it sooner
+	finishSlack = 100 * time.Millisecond // what is open then may take the longest deadline and this
 	headTime    = 5 * time.Second        // for a request's head
 	readTime    = 10 * time.Second       // for a whole request
 	writeTime   = 5 * time.Second        // for an answer
@@ -34,16 +34,19 @@
 // frontend takes clients' requests and writes their answers.
 type frontend struct {
 	node     *Node
-	most     int // connections
-	methods  map[string]decide.Effect
+	most     int                      // connections
+	effects  map[string]decide.Effect // of the classes
+	longest  time.Duration            // deadline of a class
+	linger   func()                   // goes on accepting for a while after the order to stop
 	ready    atomic.Bool
 	draining atomic.Bool
 }
 
 func newFrontend(n *Node, most int) *frontend {
-	f := &frontend{node: n, most: most, methods: map[string]decide.Effect{}}
+	f := &frontend{node: n, most: most, effects: map[string]decide.Effect{}, linger: func() { time.Sleep(lingerTime) }}
 	for _, c := range n.cfg.Settings.Classes {
-		f.methods[c.Name] = c.Effect
+		f.effects[c.Name] = c.Effect
+		f.longest = max(f.longest, c.Deadline)
 	}
 	return f
 }
@@ -54,21 +57,26 @@
 func (f *frontend) serve(ctx context.Context, ln net.Listener) error {
 	srv := &http.Server{Handler: f, ReadHeaderTimeout: headTime, ReadTimeout: readTime, IdleTimeout: idleTime,
 		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(f.node.log.Handler(), slog.LevelDebug)}
+	limited := limitListener(ln, f.most)
+	srv.ConnState = limited.note
 	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(limitListener(ln, f.most)) }()
+	go func() { failed <- srv.Serve(limited) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serving clients: %w", err)
 	case <-ctx.Done():
 	}
 	f.draining.Store(true)
-	sleep(context.WithoutCancel(ctx), lingerTime)
-	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTime)
+	f.linger()
+	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.longest+finishSlack)
 	defer cancel()
-	if err := srv.Shutdown(end); err != nil {
-		return fmt.Errorf("finishing requests: %w", err)
+	err := srv.Shutdown(end)
+	if errors.Is(err, context.DeadlineExceeded) {
+		// All requests are past their deadlines and so are answered: what is
+		// left are connections on which none has come.
+		return srv.Close()
 	}
-	return nil
+	return err
 }
 
 // ServeHTTP answers the health checks and passes requests to the loop.
@@ -116,7 +124,7 @@
 		return bad(http.StatusBadRequest, "want one X-Request-Id of at most %d bytes", maxIDLength)
 	}
 	e.ID = decide.RequestID(id)
-	effect, known := f.methods[e.Class]
+	effect, known := f.effects[e.Class]
 	if !known {
 		return bad(http.StatusBadRequest, "unknown X-Class %q", e.Class)
 	}
@@ -208,18 +216,29 @@
 }
 
 // limited holds accepted connections to a number, so that clients leave
-// descriptors for the servers. The others wait in the listener's queue.
+// descriptors for the servers.
 type limited struct {
 	net.Listener
 	slots chan struct{}
+
+	mu   sync.Mutex
+	idle map[net.Conn]time.Time // since when
 }
 
-func limitListener(ln net.Listener, most int) net.Listener {
-	return &limited{Listener: ln, slots: make(chan struct{}, most)}
+func limitListener(ln net.Listener, most int) *limited {
+	return &limited{Listener: ln, slots: make(chan struct{}, most), idle: map[net.Conn]time.Time{}}
 }
 
+// Accept makes room by closing the connection that has been idle longest:
+// clients that keep connections without using them must not shut out others.
+// With none idle, those that come wait in the listener's queue.
 func (l *limited) Accept() (net.Conn, error) {
-	l.slots <- struct{}{}
+	select {
+	case l.slots <- struct{}{}:
+	default:
+		l.evict()
+		l.slots <- struct{}{}
+	}
 	c, err := l.Listener.Accept()
 	if err != nil {
 		<-l.slots
@@ -228,6 +247,32 @@
 	return &limitedConn{Conn: c, free: sync.OnceFunc(func() { <-l.slots })}, nil
 }
 
+// note follows which connections are idle, for http.Server's ConnState.
+func (l *limited) note(c net.Conn, s http.ConnState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s == http.StateIdle {
+		l.idle[c] = time.Now()
+	} else {
+		delete(l.idle, c)
+	}
+}
+
+func (l *limited) evict() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var oldest net.Conn
+	for c, since := range l.idle {
+		if oldest == nil || since.Before(l.idle[oldest]) {
+			oldest = c
+		}
+	}
+	if oldest != nil {
+		delete(l.idle, oldest)
+		oldest.Close()
+	}
+}
+
 type limitedConn struct {
 	net.Conn
 	free func()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -236,7 +236,7 @@
 	}
 	number := len(r.attempts)
 	left := time.Until(r.deadline)
-	if a.Timeout > 0 {
+	if a.Timeout != 0 {
 		left = min(left, a.Timeout)
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, left)
