End a request's attempts when the guard answers it

Seen: TestGuard took 30 s, the time-out of its server, and passed only by it. Ruled out: the guard itself (504 came at once) and the pool (a cancelled attempt closes). To blame: the guard in open left calling off to the module, which by then does not know the request. With a longer time-out on the server's side the test fails without the fix and passes in milliseconds with it.

--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -33,7 +33,7 @@
 			if err != nil {
 				return
 			}
-			c.SetDeadline(time.Now().Add(enough))
+			c.SetDeadline(time.Now().Add(3 * enough)) // a test that waits for the other side fails first
 			go func() {
 				defer c.Close()
 				script(i, c, bufio.NewReader(c))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -192,6 +192,9 @@
 		n.post(func() {
 			if !r.done {
 				n.finish(r.id, answer{status: http.StatusGatewayTimeout})
+				for _, cancel := range r.attempts {
+					cancel() // a module that lost the request does not call them off
+				}
 				n.handle(decide.RequestAbandoned{ID: r.id})
 			}
 		})
