--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -212,7 +212,9 @@
 		if d.index != before || time.Since(began) > d.hold+callGrace {
 			wait = backoffLow
 		}
-		d.log.Warn("watch ended", "err", err, "wait", wait)
+		if wait == backoffLow { // a long outage is one line, not one for each try
+			d.log.Warn("discovery failed, watching again", "err", err)
+		}
 		if !sleep(ctx, time.Duration(float64(wait)*(0.5+rand.Float64()))) {
 			return
 		}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -106,6 +106,9 @@
 		write(w, a)
 	case <-r.Context().Done():
 		f.node.post(func() { f.node.abandon(req) })
+		// A client that only ended its sending can still read. Without a word
+		// from here the server would tell it 200, which no backend said.
+		write(w, answer{status: http.StatusBadGateway})
 	case <-f.node.ended:
 		http.Error(w, "the node has ended", http.StatusBadGateway)
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -435,3 +435,53 @@
 		t.Errorf("the oldest is not closed: %v", err)
 	}
 }
+
+// raw is a client that speaks on one connection.
+type raw struct {
+	*net.TCPConn
+	read *bufio.Reader
+}
+
+func (n *running) dial(t *testing.T) raw {
+	t.Helper()
+	c, err := net.Dial("tcp", n.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(enough))
+	return raw{c.(*net.TCPConn), bufio.NewReader(c)}
+}
+
+func (c raw) ask(t *testing.T, class, id, deadline string) {
+	t.Helper()
+	if _, err := fmt.Fprintf(c, "GET /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Deadline: %s\r\n\r\n",
+		id, class, deadline); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (c raw) status(t *testing.T) int {
+	t.Helper()
+	resp, err := http.ReadResponse(c.read, nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// TestHalfClosedClient: an end of sending cancels the request's context as a
+// close does. A handler that returns without a word would answer it 200.
+func TestHalfClosedClient(t *testing.T) {
+	server, got, gone := silentServer(t)
+	n := startNode(t, server)
+	c := n.dial(t)
+	c.ask(t, "saldo", "q", "60")
+	wait(t, got, "the attempt")
+	c.CloseWrite()
+	wait(t, gone, "the attempt's end")
+	if s := c.status(t); s < 500 {
+		t.Errorf("answer %d, want a failure", s)
+	}
+}
