Want exactly one key that says something of a keyed request

Seen in review: an empty Idempotency-Key, or two, passed as a key, though a server cannot drop a repeat by them, and the module may resend. To blame: read checked only that the header is there. Two rows of TestBadRequests fail without the fix.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -133,7 +133,6 @@
 	}
 	// The method tells the server what a repeat would do, so it must agree
 	// with what the module believes.
-	_, keyed := r.Header["Idempotency-Key"]
 	want := http.MethodPost
 	if effect == decide.Safe {
 		want = http.MethodGet
@@ -141,7 +140,8 @@
 	if r.Method != want {
 		return bad(http.StatusMethodNotAllowed, "class %s wants %s", e.Class, want)
 	}
-	if keyed != (effect == decide.Keyed) && effect != decide.Safe {
+	switch keys := r.Header.Values("Idempotency-Key"); {
+	case effect == decide.Keyed && (len(keys) != 1 || keys[0] == ""), effect == decide.Unsafe && len(keys) > 0:
 		return bad(http.StatusBadRequest, "class %s and Idempotency-Key do not agree", e.Class)
 	}
 	patience, err := seconds(r.Header.Get("X-Deadline"))
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -289,28 +289,30 @@
 	n := startNode(t, server)
 	for _, c := range []struct {
 		name, method, class, id, deadline string
-		key                               bool
+		key                               []string
 		body                              int
 		want                              int
 	}{
-		{"no id", "GET", "saldo", "", "1", false, 0, 400},
-		{"long id", "GET", "saldo", strings.Repeat("x", maxIDLength+1), "1", false, 0, 400},
-		{"no class", "GET", "", "q", "1", false, 0, 400},
-		{"unknown class", "GET", "odd", "q", "1", false, 0, 400},
-		{"no deadline", "GET", "saldo", "q", "", false, 0, 400},
-		{"odd deadline", "GET", "saldo", "q", "soon", false, 0, 400},
-		{"deadline NaN", "GET", "saldo", "q", "NaN", false, 0, 400},
-		{"deadline Inf", "GET", "saldo", "q", "Inf", false, 0, 400},
-		{"negative deadline", "GET", "saldo", "q", "-1", false, 0, 400},
-		{"safe class, other method", "POST", "saldo", "q", "1", false, 1, 405},
-		{"unsafe class, other method", "GET", "pagar", "q", "1", false, 0, 405},
-		{"keyed class, no key", "POST", "pedido", "q", "1", false, 1, 400},
-		{"unsafe class, key", "POST", "pagar", "q", "1", true, 1, 400},
-		{"body too long", "POST", "pagar", "q", "1", false, maxBody + 1, 413},
+		{"no id", "GET", "saldo", "", "1", nil, 0, 400},
+		{"long id", "GET", "saldo", strings.Repeat("x", maxIDLength+1), "1", nil, 0, 400},
+		{"no class", "GET", "", "q", "1", nil, 0, 400},
+		{"unknown class", "GET", "odd", "q", "1", nil, 0, 400},
+		{"no deadline", "GET", "saldo", "q", "", nil, 0, 400},
+		{"odd deadline", "GET", "saldo", "q", "soon", nil, 0, 400},
+		{"deadline NaN", "GET", "saldo", "q", "NaN", nil, 0, 400},
+		{"deadline Inf", "GET", "saldo", "q", "Inf", nil, 0, 400},
+		{"negative deadline", "GET", "saldo", "q", "-1", nil, 0, 400},
+		{"safe class, other method", "POST", "saldo", "q", "1", nil, 1, 405},
+		{"unsafe class, other method", "GET", "pagar", "q", "1", nil, 0, 405},
+		{"keyed class, no key", "POST", "pedido", "q", "1", nil, 1, 400},
+		{"keyed class, empty key", "POST", "pedido", "q", "1", []string{""}, 1, 400},
+		{"keyed class, two keys", "POST", "pedido", "q", "1", []string{"k", "l"}, 1, 400},
+		{"unsafe class, key", "POST", "pagar", "q", "1", []string{"k"}, 1, 400},
+		{"body too long", "POST", "pagar", "q", "1", nil, maxBody + 1, 413},
 	} {
 		req := n.request(t, c.method, c.class, c.id, c.deadline, bytes.NewReader(make([]byte, c.body)))
-		if c.key {
-			req.Header.Set("Idempotency-Key", "k")
+		if c.key != nil {
+			req.Header["Idempotency-Key"] = c.key
 		}
 		if a := do(t, req); a.status != c.want {
 			t.Errorf("%s: answer %+v, want %d", c.name, a, c.want)
