Refuse requests of doubtful framing and end their connection

Checked by raw bytes over loopback: with Transfer-Encoding there net/http drops Content-Length (in HTTP/1.0 it drops the coding instead), the handler sees a sound request, and what follows the chunks is served as the next one. Ruled out: two differing or negative lengths, which net/http refuses by itself. To blame: read in frontend.go looked at neither r.TransferEncoding nor r.Proto, and http.Error left the connection open.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -26,6 +26,7 @@
 	headTime    = 5 * time.Second        // for a request's head
 	readTime    = 10 * time.Second       // for a whole request
 	writeTime   = 5 * time.Second        // for an answer
+	dregsTime   = 200 * time.Millisecond // for what is left of a request that is turned away
 	idleTime    = 2 * time.Minute        // for a connection between requests
 	maxIDLength = 128
 	maxPatience = time.Hour
@@ -97,7 +98,7 @@
 	}
 	req, event, status, err := f.read(w, r)
 	if err != nil {
-		http.Error(w, err.Error(), status)
+		f.turnAway(w, err, status)
 		return
 	}
 	f.node.post(func() { f.node.open(req, event) })
@@ -114,6 +115,31 @@
 	}
 }
 
+// turnAway answers a request that can't be read and ends its connection. What
+// follows on it may belong to the body of this request as the client sees it,
+// so none of it is taken for a request; and the answer waits for no body.
+func (f *frontend) turnAway(w http.ResponseWriter, err error, status int) {
+	w.Header().Set("Connection", "close")
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(dregsTime)) // fails only on a closed connection
+	http.Error(w, err.Error(), status)
+}
+
+// framing refuses requests whose ends two readers could see in two places: one
+// could hide another in its body, which the next reader would run. Clients use
+// Content-Length alone. net/http drops it where a transfer coding is there
+// too, and drops the coding in HTTP/1.0, so neither can be told from a sound one.
+func framing(r *http.Request) (int, error) {
+	switch {
+	case !r.ProtoAtLeast(1, 1):
+		return http.StatusHTTPVersionNotSupported, errors.New("want HTTP/1.1")
+	case len(r.TransferEncoding) > 0:
+		return http.StatusLengthRequired, errors.New("want Content-Length and no transfer coding")
+	case r.Method == http.MethodGet && r.ContentLength != 0:
+		return http.StatusBadRequest, errors.New("a GET with a body")
+	}
+	return 0, nil
+}
+
 // read checks a request. The status goes with the error.
 func (f *frontend) read(w http.ResponseWriter, r *http.Request) (*request, decide.RequestArrived, int, error) {
 	arrived := time.Now() // the body may take a while, and the client's clock runs
@@ -122,6 +148,9 @@
 	bad := func(status int, format string, args ...any) (*request, decide.RequestArrived, int, error) {
 		return nil, e, status, fmt.Errorf(format, args...)
 	}
+	if status, err := framing(r); err != nil {
+		return bad(status, "%w", err)
+	}
 	id := r.Header.Get("X-Request-Id")
 	if id == "" || len(id) > maxIDLength || len(r.Header.Values("X-Request-Id")) > 1 {
 		return bad(http.StatusBadRequest, "want one X-Request-Id of at most %d bytes", maxIDLength)
