Reload on SIGHUP: follow discovery to its new address

Checked: 129 is SIGHUP's, which nothing caught (main.go). Now it is caught from the start to the end, and Reload takes up a new discovery: ends the old watch and its connections, takes the whole list there (its versions need not go on from the old ones) and watches; late news of the old one are dropped. The program's test ends at SIGHUP without this; TestReloadMovesDiscovery has the rest.

--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -1,6 +1,6 @@
 // Command indigotack is one load-balancing proxy node. It reads the file that
 // GW_CONFIG names, serves until SIGTERM or SIGINT, finishes what is open and
-// exits with 0.
+// exits with 0. On SIGHUP it reads the file again.
 package main
 
 import (
@@ -26,7 +26,11 @@
 func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	cfg, err := node.LoadConfig(os.Getenv("GW_CONFIG"))
+	// Caught from here to the end: by itself the signal would end the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	path := os.Getenv("GW_CONFIG")
+	cfg, err := node.LoadConfig(path)
 	if err != nil {
 		return err
 	}
@@ -36,5 +40,16 @@
 	if err != nil {
 		return err
 	}
-	return node.New(cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", cfg.Name)).Run(ctx, ln)
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", cfg.Name)
+	n := node.New(cfg, log)
+	go func() {
+		for range reload {
+			if cfg, err := node.LoadConfig(path); err != nil {
+				log.Error("not reloaded, the configuration before stays in force", "err", err)
+			} else {
+				n.Reload(cfg)
+			}
+		}
+	}()
+	return n.Run(ctx, ln)
 }
--- a/cmd/indigotack/main_test.go
+++ b/cmd/indigotack/main_test.go
@@ -41,8 +41,10 @@
 	}
 }
 
+// TestServesUntilSIGTERM: SIGHUP in between reloads; a configuration that is
+// bad is logged, and neither ends the program.
 func TestServesUntilSIGTERM(t *testing.T) {
-	var free [2]string
+	var free [3]string
 	for i := range free {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -54,8 +56,9 @@
 			ln.Close()
 		}
 	}
-	cmd := program(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","settings":{},
-		"known":{"index":1,"endpoints":[{"name":"s","address":%q,"status":"ready"}]}}`, free[0], free[1], free[1]))
+	config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","settings":{},
+		"known":{"index":1,"endpoints":[{"name":"s","address":%q,"status":"ready"}]}}`, free[0], free[1], free[1])
+	cmd := program(t, config)
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -64,10 +67,12 @@
 		t.Fatal(err)
 	}
 	defer cmd.Process.Kill()
-	said := make(chan string, 1)
+	said := make(chan string, 1000)
 	go func() {
-		line, _ := bufio.NewReader(stderr).ReadString('\n')
-		said <- line
+		defer close(said)
+		for lines := bufio.NewScanner(stderr); lines.Scan(); {
+			said <- lines.Text()
+		}
 	}()
 	ready := func() bool {
 		resp, err := http.Get("http://" + free[0] + "/health/ready")
@@ -79,14 +84,47 @@
 	}
 	for until := time.Now().Add(30 * time.Second); !ready(); time.Sleep(5 * time.Millisecond) {
 		select {
-		case line := <-said:
-			t.Fatalf("the program says %q", line)
+		case line, open := <-said:
+			if !open {
+				t.Fatal("the program ends")
+			}
+			t.Logf("the program says %q", line)
 		default:
 		}
 		if time.Now().After(until) {
 			t.Fatal("the program does not get ready")
 		}
 	}
+	path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "GW_CONFIG=")
+	for _, c := range []struct{ config, logged string }{
+		{strings.Replace(config, free[1], free[2], 1), "discovery has moved"},
+		{"{", "not reloaded"},
+	} {
+		if err := os.WriteFile(path, []byte(c.config), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		for timeout := time.After(30 * time.Second); ; {
+			select {
+			case line, open := <-said:
+				if strings.Contains(line, c.logged) {
+					break
+				}
+				if !open {
+					t.Fatalf("the program ends and has not said %q", c.logged)
+				}
+				continue
+			case <-timeout:
+				t.Fatalf("the program does not say %q", c.logged)
+			}
+			break
+		}
+	}
+	if !ready() {
+		t.Error("not ready after two reloads")
+	}
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -127,20 +127,22 @@
 	client *http.Client
 	hold   time.Duration
 	log    *slog.Logger
-	index  uint64
+	index  uint64 // 0: none yet, so that the whole list is asked for
 	listed func(list)
 	failed func()
 
-	stop context.CancelFunc // of the task under way
-	done chan struct{}      // closed when it has ended
+	ended chan struct{}      // closed when this discovery is no longer the node's
+	stop  context.CancelFunc // of the task under way
+	done  chan struct{}      // closed when it has ended
 }
 
-func newDiscovery(address string, asked bool, index uint64, log *slog.Logger, listed func(list), failed func()) *discovery {
+func newDiscovery(address string, asked bool, log *slog.Logger, listed func(list), failed func()) *discovery {
 	hold := holdPushed
 	if asked {
 		hold = holdAsked
 	}
-	return &discovery{url: "http://" + address + "/registry/instances", hold: hold, log: log, index: index, listed: listed, failed: failed,
+	return &discovery{url: "http://" + address + "/registry/instances", hold: hold, log: log, listed: listed, failed: failed,
+		ended: make(chan struct{}),
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1,
 			DialContext: (&net.Dialer{Timeout: callGrace}).DialContext}}}
 }
@@ -178,12 +180,37 @@
 	return nil
 }
 
+// end ends the calls under way, and their connections, for good.
+func (d *discovery) end() {
+	close(d.ended)
+	d.client.CloseIdleConnections()
+}
+
+// under is a context that ends with the discovery as well.
+func (d *discovery) under(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-d.ended:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 // fetch asks for the whole list.
 func (d *discovery) fetch(ctx context.Context) error { return d.call(ctx, "", 0) }
 
 // watch follows the list until a call fails. The calls come back to back, so
-// that discovery counts them as one watch.
+// that discovery counts them as one watch. With no version seen here yet it
+// begins with the whole list: versions of another address mean nothing to it.
 func (d *discovery) watch(ctx context.Context) error {
+	if d.index == 0 {
+		if err := d.fetch(ctx); err != nil {
+			return err
+		}
+	}
 	for {
 		began, before := time.Now(), d.index
 		if err := d.call(ctx, fmt.Sprintf("?from=%d&hold_ms=%d", d.index, d.hold.Milliseconds()), d.hold); err != nil {
@@ -202,6 +229,8 @@
 // module. It comes back from a failure after a jittered wait that doubles up
 // to a cap: nodes that lost discovery together must not return together.
 func (d *discovery) follow(ctx context.Context) {
+	ctx, cancel := d.under(ctx)
+	defer cancel()
 	wait := backoffLow
 	for ctx.Err() == nil {
 		began, before := time.Now(), d.index
@@ -227,7 +256,7 @@
 // module in order only from one at a time. It does not block, and is not safe
 // for concurrent use.
 func (d *discovery) ask(ctx context.Context, fetch, watch bool) {
-	ctx, stop := context.WithCancel(ctx)
+	ctx, stop := d.under(ctx)
 	earlier, done := d.done, make(chan struct{})
 	if d.stop != nil {
 		d.stop()
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -82,7 +84,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	lists := make(chan list, 10)
-	d := newDiscovery(s.Listener.Addr().String(), false, 41, quiet, func(l list) { lists <- l }, func() { t.Error("told a failure") })
+	d := newDiscovery(s.Listener.Addr().String(), false, quiet, func(l list) { lists <- l }, func() { t.Error("told a failure") })
+	d.index = 41
 	d.hold = time.Millisecond
 	go d.follow(ctx)
 	select {
@@ -118,7 +121,8 @@
 	}))
 	defer s.Close()
 	lists, failures := make(chan list, 10), make(chan bool, 10)
-	d := newDiscovery(s.Listener.Addr().String(), true, 41, quiet, func(l list) { lists <- l }, func() { failures <- true })
+	d := newDiscovery(s.Listener.Addr().String(), true, quiet, func(l list) { lists <- l }, func() { failures <- true })
+	d.index = 41
 	for _, c := range []struct {
 		fetch bool
 		index uint64
@@ -175,3 +179,56 @@
 	apply(decide.ListFull)
 	check("empty", nil)
 }
+
+// listServer is a discovery with one list, which it gives to who has another
+// version; watches on it hang. gone gets a value when one ends.
+func listServer(t *testing.T, index int, entries ...string) (address string, gone chan bool) {
+	t.Helper()
+	gone = make(chan bool, 100)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("from") == fmt.Sprint(index) {
+			<-r.Context().Done()
+			gone <- true
+			return
+		}
+		fmt.Fprintf(w, `{"index":%d,"snapshot":true,"endpoints":[%s]}`, index, strings.Join(entries, ","))
+	}))
+	t.Cleanup(s.CloseClientConnections)
+	return s.Listener.Addr().String(), gone
+}
+
+// TestReloadMovesDiscovery: the old watch ends, and the list at the new
+// address is taken whole though its versions are lower; what comes late from
+// the old one does not count.
+func TestReloadMovesDiscovery(t *testing.T) {
+	n := startNode(t, refusing(t))
+	names := func() string {
+		got := make(chan string, 1)
+		n.post(func() { got <- fmt.Sprint(slices.Sorted(maps.Keys(n.listed))) })
+		return wait(t, got, "the list")
+	}
+	until := func(want string) {
+		t.Helper()
+		for end := time.Now().Add(enough); names() != want; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("the list is %s, want %s", names(), want)
+			}
+		}
+	}
+	first, firstGone := listServer(t, 9, entryJSON("a", "127.0.0.1:1", "ready"))
+	second, _ := listServer(t, 3, entryJSON("b", "127.0.0.1:2", "ready"))
+	cfg := n.cfg
+	cfg.Discovery = first
+	n.Reload(cfg)
+	until("[a]")
+	var late *discovery
+	n.post(func() { late = n.discovery })
+	cfg.Discovery = second
+	n.Reload(cfg)
+	wait(t, firstGone, "the end of the old watch")
+	until("[b]")
+	late.listed(list{Index: 10, Snapshot: true})
+	until("[b]")
+	n.Reload(cfg) // the same again changes nothing
+	until("[b]")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"reflect"
 	"slices"
 	"time"
 
@@ -71,12 +72,50 @@
 	clients := int(clientPart * float64(cfg.Sockets-spareSockets))
 	n.backends = newPool(cfg.Settings, cfg.Sockets-spareSockets-clients)
 	n.front = newFrontend(n, clients)
-	n.discovery = newDiscovery(cfg.Discovery, cfg.Settings.AskForList, cfg.known.Index, log,
-		func(l list) { n.post(func() { n.follow(l, kindOf(l)) }) },
-		func() { n.post(func() { n.handle(decide.ListUpdate{Kind: decide.ListFailed}) }) })
+	n.discovery = n.discoveryAt(cfg.Discovery)
+	n.discovery.index = cfg.known.Index
 	return n
 }
 
+// discoveryAt makes a discovery whose news count for as long as it is the node's.
+func (n *Node) discoveryAt(address string) *discovery {
+	var d *discovery
+	news := func(f func()) {
+		n.post(func() {
+			if n.discovery == d {
+				f()
+			}
+		})
+	}
+	d = newDiscovery(address, n.cfg.Settings.AskForList, n.log,
+		func(l list) { news(func() { n.follow(l, kindOf(l)) }) },
+		func() { news(func() { n.handle(decide.ListUpdate{Kind: decide.ListFailed}) }) })
+	return d
+}
+
+// Reload takes up a configuration that was read anew while the node runs: it
+// follows the list of servers at the new address. All else needs a restart.
+func (n *Node) Reload(cfg Config) {
+	n.post(func() {
+		if cfg.Listen != n.cfg.Listen || cfg.Seed != n.cfg.Seed || cfg.MemoryMB != n.cfg.MemoryMB || cfg.Sockets != n.cfg.Sockets ||
+			!reflect.DeepEqual(cfg.Settings, n.cfg.Settings) {
+			n.log.Warn("of the new configuration only discovery is taken up; the rest needs a restart")
+		}
+		if cfg.Discovery == n.cfg.Discovery {
+			return
+		}
+		n.log.Info("discovery has moved", "address", cfg.Discovery)
+		n.cfg.Discovery = cfg.Discovery
+		n.discovery.end()
+		n.discovery = n.discoveryAt(cfg.Discovery)
+		if n.cfg.Settings.AskForList {
+			n.discovery.ask(n.ctx, true, true)
+		} else {
+			go n.discovery.follow(n.ctx)
+		}
+	})
+}
+
 func kindOf(l list) decide.ListKind {
 	if l.Snapshot {
 		return decide.ListFull
@@ -89,11 +128,12 @@
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	n.ctx = inner
+	first := n.discovery // the loop may replace it
 	go n.loop(inner)
 	go n.backends.run(inner)
 	n.post(func() { n.follow(n.cfg.known, decide.ListCached) })
 	if !n.cfg.Settings.AskForList {
-		go n.discovery.follow(inner)
+		go first.follow(inner)
 	}
 	err := n.front.serve(ctx, ln)
 	stop()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -49,7 +49,7 @@
 	}
 	hung := make(chan struct{})
 	disc := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Query().Get("from") == "0" {
+		if r.URL.Query().Get("from") == "" {
 			fmt.Fprintf(w, `{"index":1,"snapshot":true,"endpoints":[%s]}`, strings.Join(entries, ","))
 			return
 		}
