Thresholds: more room with few nodes, L nearer to H, an unhurried kind's mean

To blame: L = H/2 empties a server wholly at the small counts that a node has, and one factor for 2 nodes and for 8, though among 8 a node's own count tells far less.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -16,9 +16,10 @@
 	validity    = time.Second            // s; oc-validity of the paper: an imposed mode lapses after it
 	recompute   = 500 * time.Millisecond // s; period of q: many arrivals, yet far shorter than a trouble
 	aimPart     = 0.4                    // part of an aim that the class's mean delay may take: tails are long
-	queueFactor = 1.8                    // of the uncrowded latency: long queues harm where crowds slow servers
+	queueFactor = 1.3                    // of the uncrowded latency: long queues harm where crowds slow servers,
+	queueShare  = 1.5                    // and this over the nodes at a server: own counts tell less among many
 	baseNoise   = 0.15                   // by how much chance alone takes a class's mean under its true value
-	lowPart     = 0.5                    // L as a part of H: the hysteresis
+	lowPart     = 0.75                   // L as a part of H: the hysteresis; of small counts half is one or none
 	highPart    = 3.0                    // R as a multiple of H: room for priority work, which comes in lumps
 	worthCut    = 0.1                    // part of the top worth up to which no request counts as priority
 	reachLeast  = 4.0                    // servers that a node works with, at least: some may fail together
@@ -29,14 +30,16 @@
 	leastWindow = 2.0                    // requests of all nodes at a server that all may send; twice at first
 	learnCount  = 2.0                    // answers a server, on average, after which a node has learned
 	coldStart   = 4.0                    // 1/s, of all nodes to a cold server with no warm one to compare
-	coldGrowth  = 0.6                    // of the overload factor, times what a cold server can do
+	coldGrowth  = 0.5                    // of the overload factor, times what a cold server can do
+	kindGain    = 0.006                  // the same over a kind: its least is kept, so chance must be small
 	kindCount   = 50.0                   // answers of a kind of machine after which its latency counts
 	anchor      = 0.3                    // part of H drawn from the fleet: own noise must not starve a server
 	rateTau     = 3.0                    // s; what a node has seen of a server holds about as long
 	memoryTau   = 600.0                  // s; to forget peak rates and uncrowded latency: longer than troubles
 	latencyGain = 0.1                    // weight of a new latency in a server's smoothed one
 	classGain   = 0.02                   // the same over all servers, where samples are many
-	suspectAt   = 3                      // failures in a row, or sends without any answer: fewer are chance
+	suspectAt   = 3                      // failures in a row: fewer are chance
+	muteAt      = 4                      // sends without any answer, for the same reason
 	muteFactor  = 4.0                    // multiple of the expected latency beyond which more tells no more
 	trialFirst  = 500 * time.Millisecond // s; wait before a suspect's first trial request; doubles
 	trialLast   = 4 * time.Second        // s; the longest such wait, well under what troubles last
@@ -173,7 +176,7 @@
 	if k := s.kind; k.base > 0 {
 		base, mean = k.base, k.mean
 	}
-	want := math.Min(queueFactor*base, aimPart*m.tight)
+	want := math.Min((queueFactor+queueShare/m.sharers)*base, aimPart*m.tight)
 	h := rate * math.Max(base*m.peak/m.fleetRate, want*math.Min(3, want/mean))
 	return math.Max(h, leastWindow/m.sharers)
 }
@@ -255,7 +258,7 @@
 	c.relative = c.latency / c.ambient // not to m.mean: a rare class must not keep a past trouble's latency
 	k := a.server.kind
 	k.answers++
-	k.mean += max(classGain, 1/k.answers) * (t/c.relative - k.mean)
+	k.mean += max(kindGain, 1/k.answers) * (t/c.relative - k.mean)
 	m.weigh(a.server, c, took)
 }
 
@@ -579,7 +582,7 @@
 func (m *Module) tick() {
 	m.survey()
 	for _, s := range m.list {
-		if s.unanswered >= suspectAt && m.mean > 0 &&
+		if s.unanswered >= muteAt && m.mean > 0 &&
 			(m.now-s.muteSince).Seconds() > muteFactor*math.Max(m.mean, m.latencyOf(s)) {
 			m.accuse(s, "no answer") // to several sends, when the fleet's mean request is long done
 		}
