A node told to stop serves the clients it has for as long as it can finish

Ruled out: the front and new connections, which cease within 0.4 s anyhow; the failures come after the node's 'Connection: close' at 0 s and its end at 0.6 s. To blame: ServeHTTP asked clients to close from the first moment, and serve ended 0.6 s later though SIGKILL comes no sooner than the longest deadline and 0.7 s. Now it serves on while it has connections, up to 0.6 s less than the longest deadline, answers all it takes by the longest deadline and 0.4 s, and only at the end asks clients to close.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -22,7 +22,8 @@
 
 const (
 	lingerTime  = 600 * time.Millisecond // after SIGTERM new connections still come for a while
-	finishSlack = 100 * time.Millisecond // what is open then may take the longest deadline and this
+	finishTime  = time.Second            // the last requests then get so long before the node ends
+	finishSlack = 400 * time.Millisecond // it ends the longest deadline and this after SIGTERM, lest it be killed
 	headTime    = 5 * time.Second        // for a request's head
 	readTime    = 10 * time.Second       // for a whole request
 	writeTime   = 5 * time.Second        // for an answer
@@ -34,27 +35,36 @@
 
 // frontend takes clients' requests and writes their answers.
 type frontend struct {
-	node     *Node
-	most     int                      // connections
-	effects  map[string]decide.Effect // of the classes
-	longest  time.Duration            // deadline of a class
-	linger   func()                   // goes on accepting for a while after the order to stop
-	ready    atomic.Bool
-	draining atomic.Bool
+	node    *Node
+	most    int                      // connections
+	effects map[string]decide.Effect // of the classes
+	longest time.Duration            // deadline of a class
+	linger  func(open func() int)    // goes on serving for a while after the order to stop
+	ready   atomic.Bool
+	endsAt  atomic.Int64 // what the node takes after the order to stop is answered by then: its clock; 0: no such order
+	leaving atomic.Bool  // clients are asked to close
 }
 
 func newFrontend(n *Node, most int) *frontend {
-	f := &frontend{node: n, most: most, effects: map[string]decide.Effect{}, linger: func() { time.Sleep(lingerTime) }}
+	f := &frontend{node: n, most: most, effects: map[string]decide.Effect{}}
 	for _, c := range n.cfg.Settings.Classes {
 		f.effects[c.Name] = c.Effect
 		f.longest = max(f.longest, c.Deadline)
 	}
+	f.linger = func(open func() int) {
+		for waited := time.Duration(0); waited < lingerTime || open() > 0 && waited < f.longest+finishSlack-finishTime; {
+			time.Sleep(lingerTime / 10)
+			waited += lingerTime / 10
+		}
+	}
 	return f
 }
 
-// serve takes requests until ctx ends. Then it goes on for a while, as the
-// front sends new connections until it has noticed, but asks each client to
-// close; at last it finishes what is open.
+// serve takes requests until ctx ends. Then it says that it is not ready and
+// goes on for as long as it can still finish what it takes: the front sends
+// new connections until it has noticed, and clients that keep theirs may have
+// no other node just now. Then it asks each client to close and finishes what
+// is open.
 func (f *frontend) serve(ctx context.Context, ln net.Listener) error {
 	srv := &http.Server{Handler: f, ReadHeaderTimeout: headTime, ReadTimeout: readTime, IdleTimeout: idleTime,
 		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(f.node.log.Handler(), slog.LevelDebug)}
@@ -67,9 +77,11 @@
 		return fmt.Errorf("serving clients: %w", err)
 	case <-ctx.Done():
 	}
-	f.draining.Store(true)
-	f.linger()
-	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.longest+finishSlack)
+	ends := time.Now().Add(max(f.longest+finishSlack, lingerTime+finishTime))
+	f.endsAt.Store(ends.UnixNano())
+	f.linger(func() int { return len(limited.slots) })
+	f.leaving.Store(true)
+	end, cancel := context.WithDeadline(context.WithoutCancel(ctx), ends)
 	defer cancel()
 	err := srv.Shutdown(end)
 	if errors.Is(err, context.DeadlineExceeded) {
@@ -82,12 +94,12 @@
 
 // ServeHTTP answers the health checks and passes requests to the loop.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.draining.Load() {
+	if f.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	switch r.URL.Path {
 	case "/health/ready":
-		if !f.ready.Load() || f.draining.Load() {
+		if !f.ready.Load() || f.endsAt.Load() != 0 {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
@@ -190,7 +202,13 @@
 		return bad(http.StatusBadRequest, "reading the body: %w", err)
 	}
 	u := url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}
-	return &request{id: e.ID, deadline: arrived.Add(patience - answerMargin), answer: make(chan answer, 1),
+	deadline := arrived.Add(patience - answerMargin)
+	if ends := f.endsAt.Load(); ends != 0 {
+		if last := time.Unix(0, ends).Add(-answerMargin); last.Before(deadline) {
+			deadline = last
+		}
+	}
+	return &request{id: e.ID, deadline: deadline, answer: make(chan answer, 1),
 		out: &outbound{method: r.Method, url: &u, host: r.Host, header: endToEnd(r.Header), body: body}}, e, 0, nil
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -67,7 +67,7 @@
 		ended: make(chan error, 1)}
 	lingered := make(chan struct{})
 	n.linger = sync.OnceFunc(func() { close(lingered) })
-	n.front.linger = func() { <-lingered }
+	n.front.linger = func(func() int) { <-lingered }
 	go func() { n.ended <- n.Run(ctx, ln) }()
 	t.Cleanup(func() {
 		stop()
@@ -400,6 +400,46 @@
 	}
 }
 
+// TestStopKeepsServing: clients that have connections may have no other node
+// just now, so a node that was told to stop serves them until its time is up.
+func TestStopKeepsServing(t *testing.T) {
+	n := startNode(t, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for readRequest(r) != nil {
+			io.WriteString(c, okAnswer)
+		}
+	}))
+	c := n.dial(t)
+	ask := func(id string) *http.Response {
+		t.Helper()
+		c.ask(t, "saldo", id, "20")
+		resp, err := http.ReadResponse(c.read, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		if resp.StatusCode != 200 {
+			t.Errorf("%s is answered %d", id, resp.StatusCode)
+		}
+		return resp
+	}
+	ask("before")
+	n.stop()
+	for until := time.Now().Add(enough); n.front.endsAt.Load() == 0 && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+	if resp := ask("after"); resp.Close {
+		t.Error("the client is told to close while the node can still serve it")
+	}
+	n.front.leaving.Store(true)
+	if resp := ask("last"); !resp.Close {
+		t.Error("the client is not told to close at the end")
+	}
+	n.linger()
+	if err := wait(t, n.ended, "the node's end"); err != nil {
+		t.Errorf("the node ends with %v", err)
+	}
+}
+
 // TestIdleClientsGiveWay: clients that hold connections and send nothing must not shut out others.
 func TestIdleClientsGiveWay(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
