--- a/decide/api.go
+++ b/decide/api.go
@@ -204,8 +204,10 @@
 	Reset
 	// Cancelled: called off; it may have run.
 	Cancelled
-	// Moot: not sent, as the request was over.
+	// Moot: never sent, and the server is not to blame: the request was over, or this node could not.
 	Moot
+	// Unusable: the server can't use the request, which is its client's doing; it may have run.
+	Unusable
 )
 
 // Events.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -273,7 +273,11 @@
 // work. A server that answers a trial may have restarted unannounced, so it is taken as cold.
 func (m *Module) judge(s *server, r *request, e AttemptEnded) {
 	switch e.Code {
-	case Cancelled, Moot:
+	case Cancelled:
+	case Moot: // not sent, so no answer is missing
+		s.unanswered = max(0, s.unanswered-1)
+	case Unusable:
+		s.unanswered = 0
 	case Full:
 		s.unanswered = 0
 		m.impose(s, Blocking)
@@ -568,6 +572,9 @@
 		delete(m.requests, r.id)
 	case e.Over:
 		m.close(r)
+	case e.Code == Unusable && !r.done: // by any other server as well
+		m.do(Fail{ID: r.id})
+		m.close(r)
 	case r.out == 0:
 		m.place(r)
 	}
--- a/decide/pool_test.go
+++ b/decide/pool_test.go
@@ -247,3 +247,38 @@
 		t.Errorf("%d kinds are kept, though the settings name %d", len(m.kinds), len(set.Kinds))
 	}
 }
+
+// What a client did wrong, or this node could not do, is no failure of the server; and the first ends the request.
+func TestNoBlame(t *testing.T) {
+	for _, code := range []OutcomeCode{Unusable, Moot} {
+		m := New(Settings{Nodes: 2, MaxAttempts: 9, Classes: []Class{{Name: "page", Worth: 1, Aim: 2 * time.Second, Effect: Safe}}}, 1)
+		var entries []Server
+		for id := range ServerID(9) {
+			entries = append(entries, Server{ID: id, State: Ready})
+		}
+		m.Handle(time.Hour, ListUpdate{Kind: ListFull, Entries: entries})
+		sends, ends := 0, 0
+		for i := range 50 {
+			id := RequestID(fmt.Sprint(i))
+			for todo := m.Handle(m.now, RequestArrived{ID: id, Class: "page", Patience: time.Second}); len(todo) > 0; {
+				a := todo[0]
+				switch a := a.(type) {
+				case Send:
+					sends++
+					todo = append(todo, m.Handle(m.now, AttemptEnded{ID: id, Attempt: len(m.requests[id].attempts) - 1, Server: a.Server, Code: code})...)
+				case Fail, Refuse:
+					ends++
+				}
+				todo = todo[1:]
+			}
+		}
+		for _, s := range m.list {
+			if s.strikes > 0 || s.suspect || s.unanswered > 0 {
+				t.Errorf("outcome %d: %d strikes, suspect %v, %d unanswered", code, s.strikes, s.suspect, s.unanswered)
+			}
+		}
+		if ends != 50 || code == Unusable && sends != 50 {
+			t.Errorf("outcome %d: %d sends and %d final answers for 50 requests", code, sends, ends)
+		}
+	}
+}
