Slow, silent and idle clients give way; the listener has its own file

Checked over loopback: connections that never speak held every slot and blocked Accept (TestSilentClientsGiveWay hangs before), as evict saw idle ones only; half a head was held 5 s and half a body 10 s of the 3 s owed. Now a head has 2 s, a request 2.5 s, an idle connection 4 s; with no slot free the connection least likely to be missed gives way, and else the new one is closed rather than left waiting. The wrapped connection lends net/http its CloseWrite, without which the answer to a body of 60 MB was lost to a reset.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -13,7 +13,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,14 +20,14 @@
 )
 
 const (
-	lingerTime  = 600 * time.Millisecond // after SIGTERM new connections still come for a while
-	finishTime  = time.Second            // the last requests then get so long before the node ends
-	finishSlack = 400 * time.Millisecond // it ends the longest deadline and this after SIGTERM, lest it be killed
-	headTime    = 5 * time.Second        // for a request's head
-	readTime    = 10 * time.Second       // for a whole request
-	writeTime   = 5 * time.Second        // for an answer
-	dregsTime   = 200 * time.Millisecond // for what is left of a request that is turned away
-	idleTime    = 2 * time.Minute        // for a connection between requests
+	lingerTime  = 600 * time.Millisecond  // after SIGTERM new connections still come for a while
+	finishTime  = time.Second             // the last requests then get so long before the node ends
+	finishSlack = 400 * time.Millisecond  // it ends the longest deadline and this after SIGTERM, lest it be killed
+	headTime    = 2 * time.Second         // for a request's head
+	readTime    = 2500 * time.Millisecond // for a whole request
+	writeTime   = 5 * time.Second         // for an answer
+	dregsTime   = 200 * time.Millisecond  // for what is left of a request that is turned away
+	idleTime    = 4 * time.Second         // for a connection between requests
 	maxIDLength = 128
 	maxPatience = time.Hour
 )
@@ -79,7 +78,7 @@
 	}
 	ends := time.Now().Add(max(f.longest+finishSlack, lingerTime+finishTime))
 	f.endsAt.Store(ends.UnixNano())
-	f.linger(func() int { return len(limited.slots) })
+	f.linger(func() int { return limited.open() })
 	f.leaving.Store(true)
 	end, cancel := context.WithDeadline(context.WithoutCancel(ctx), ends)
 	defer cancel()
@@ -264,72 +263,3 @@
 	w.WriteHeader(a.status)
 	w.Write(a.body) // if it fails, the client has gone
 }
-
-// limited holds accepted connections to a number, so that clients leave
-// descriptors for the servers.
-type limited struct {
-	net.Listener
-	slots chan struct{}
-
-	mu   sync.Mutex
-	idle map[net.Conn]time.Time // since when
-}
-
-func limitListener(ln net.Listener, most int) *limited {
-	return &limited{Listener: ln, slots: make(chan struct{}, most), idle: map[net.Conn]time.Time{}}
-}
-
-// Accept makes room by closing the connection that has been idle longest:
-// clients that keep connections without using them must not shut out others.
-// With none idle, those that come wait in the listener's queue.
-func (l *limited) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	default:
-		l.evict()
-		l.slots <- struct{}{}
-	}
-	c, err := l.Listener.Accept()
-	if err != nil {
-		<-l.slots
-		return nil, err
-	}
-	return &limitedConn{Conn: c, free: sync.OnceFunc(func() { <-l.slots })}, nil
-}
-
-// note follows which connections are idle, for http.Server's ConnState.
-func (l *limited) note(c net.Conn, s http.ConnState) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if s == http.StateIdle {
-		l.idle[c] = time.Now()
-	} else {
-		delete(l.idle, c)
-	}
-}
-
-func (l *limited) evict() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var oldest net.Conn
-	for c, since := range l.idle {
-		if oldest == nil || since.Before(l.idle[oldest]) {
-			oldest = c
-		}
-	}
-	if oldest != nil {
-		delete(l.idle, oldest)
-		oldest.Close()
-	}
-}
-
-type limitedConn struct {
-	net.Conn
-	free func()
-}
-
-func (c *limitedConn) Close() error {
-	err := c.Conn.Close()
-	c.free()
-	return err
-}
--- /dev/null
+++ b/internal/node/listener_test.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// TestSilentClientsGiveWay: clients that connect by hundreds and say nothing
+// must neither shut out one that asks nor wait unheard.
+func TestSilentClientsGiveWay(t *testing.T) {
+	n := startNode(t, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for readRequest(r) != nil {
+			io.WriteString(c, okAnswer)
+		}
+	}))
+	most := n.front.most
+	var silent []raw
+	for range 2 * most {
+		silent = append(silent, n.dial(t))
+	}
+	// A client that is turned away in the rush comes again and gets its turn.
+	for i, until := 0, time.Now().Add(enough); ; i++ {
+		c := n.dial(t)
+		fmt.Fprintf(c, "GET /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: q%d\r\nX-Class: saldo\r\nX-Deadline: 60\r\n\r\n", i)
+		if resp, err := http.ReadResponse(c.read, nil); err == nil && resp.StatusCode == 200 {
+			break
+		}
+		if time.Now().After(until) {
+			t.Fatal("no client is served")
+		}
+	}
+	for i, c := range silent {
+		if _, err := c.read.ReadByte(); err == nil || isTimeout(err) {
+			t.Fatalf("silent client %d gets %v, want the end of its connection", i, err)
+		}
+	}
+}
+
+func isTimeout(err error) bool {
+	ne, ok := err.(net.Error)
+	return ok && ne.Timeout()
+}
+
+// TestHalfRequests: a head or a body that never ends is given up within the 3 s that bad clients are owed an end.
+func TestHalfRequests(t *testing.T) {
+	server, got, _ := silentServer(t)
+	n := startNode(t, server)
+	if headTime >= 3*time.Second || readTime >= 3*time.Second || idleTime > time.Minute {
+		t.Errorf("a head may take %v, a request %v, a connection may be idle %v", headTime, readTime, idleTime)
+	}
+	for name, text := range map[string]string{
+		"half a head": "GET /api/x HTTP/1.1\r\nHost: app",
+		"half a body": "POST /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: q\r\nX-Class: pagar\r\nX-Deadline: 60\r\nContent-Length: 9\r\n\r\nhal",
+	} {
+		c := n.dial(t)
+		io.WriteString(c, text)
+		resp, err := http.ReadResponse(c.read, nil)
+		if err == nil && resp.StatusCode < 400 || err != nil && isTimeout(err) {
+			t.Errorf("%s: %v, %v, want an error or the end of the connection", name, resp, err)
+		}
+	}
+	// An answer to a body that is too long must reach the client though it still sends.
+	c := n.dial(t)
+	fmt.Fprintf(c, "POST /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: q\r\nX-Class: pagar\r\nX-Deadline: 60\r\nContent-Length: %d\r\n\r\n", 60<<20)
+	go func() {
+		for chunk := make([]byte, 64<<10); ; {
+			if _, err := c.Write(chunk); err != nil {
+				return
+			}
+		}
+	}()
+	if resp, err := http.ReadResponse(c.read, nil); err != nil || resp.StatusCode != http.StatusRequestEntityTooLarge {
+		t.Errorf("60 MB: %v, %v, want 413", resp, err)
+	}
+	if len(got) > 0 {
+		t.Error("a request reached a server")
+	}
+}
