H's part from the fleet no longer shrinks with a server's own latency

A failure counts as a slow answer, and the part of H that is to keep chance from starving a server (anchor) was scaled by that latency, so a few silent attempts starved it, and few sends kept it so.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -175,7 +175,7 @@
 	if !m.learned {
 		return 2 * leastWindow / m.sharers
 	}
-	rate := (1-anchor)*m.rateOf(s) + anchor*m.fleetRate*math.Min(1, m.mean/m.latencyOf(s))
+	rate := (1-anchor)*m.rateOf(s) + anchor*m.fleetRate
 	base, mean := m.base, m.mean
 	if k := s.kind; k.base > 0 {
 		base, mean = k.base, k.mean
