--- a/cmd/indigotack/main_test.go
+++ b/cmd/indigotack/main_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -132,3 +133,102 @@
 		t.Errorf("after SIGTERM it ends with %v, want status 0", err)
 	}
 }
+
+// TestSidecarProgram: -app FILE serves an ordinary client, SIGHUP takes up a
+// good file and refuses a bad one, SIGTERM ends it in order.
+func TestSidecarProgram(t *testing.T) {
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "page") }))
+	defer backend.Close()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := ln.Addr().String()
+	ln.Close()
+	dir := t.TempDir()
+	write := func(name, text string) {
+		t.Helper()
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	app := fmt.Sprintf("version = 1\nname = \"a\"\n[listen]\naddress = %q\n[servers]\nfile = \"servers.toml\"\n", address)
+	write("servers.toml", fmt.Sprintf("[[server]]\nname = \"w\"\naddress = %q\n", backend.Listener.Addr()))
+	write("app.toml", app)
+	cmd := exec.Command(os.Args[0], "-app", filepath.Join(dir, "app.toml"))
+	cmd.Env = append(os.Environ(), "INDIGOTACK_AS_PROGRAM=1")
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	said := make(chan string, 1000)
+	go func() {
+		defer close(said)
+		for lines := bufio.NewScanner(stderr); lines.Scan(); {
+			said <- lines.Text()
+		}
+	}()
+	status := func(path string) int {
+		resp, err := http.Get("http://" + address + path)
+		if err != nil {
+			return 0
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	for until := time.Now().Add(30 * time.Second); status("/health/ready") != 200; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("the program does not get ready")
+		}
+	}
+	for _, c := range []struct {
+		app, logged string
+		status      int
+	}{
+		{app + "[[route]]\nprefix = \"/only\"\n", "reloaded", 404},
+		{app + "unknown = 1\n", "not reloaded", 404},
+		{app, "reloaded", 200},
+	} {
+		write("app.toml", c.app)
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		for timeout, found := time.After(30*time.Second), false; !found; {
+			select {
+			case line, open := <-said:
+				if found = strings.Contains(line, c.logged); !open {
+					t.Fatalf("the program ends and has not said %q", c.logged)
+				}
+			case <-timeout:
+				t.Fatalf("the program does not say %q", c.logged)
+			}
+		}
+		if got := status("/x"); got != c.status {
+			t.Errorf("after %q: answer %d, want %d", c.logged, got, c.status)
+		}
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("after SIGTERM it ends with %v, want status 0", err)
+	}
+}
+
+// TestBadAppFileIsToldWhole: every mistake, and a non-zero status.
+func TestBadAppFileIsToldWhole(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "app.toml")
+	if err := os.WriteFile(path, []byte("version = 1\nnam = \"x\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0], "-app", path)
+	cmd.Env = append(os.Environ(), "INDIGOTACK_AS_PROGRAM=1")
+	out, err := cmd.CombinedOutput()
+	if _, ok := err.(*exec.ExitError); !ok || !strings.Contains(string(out), "app.toml:2:1: nam, unknown key") || !strings.Contains(string(out), "listen: address, missing") {
+		t.Errorf("ends with %v and says %q", err, out)
+	}
+}
--- a/internal/appconfig/check.go
+++ b/internal/appconfig/check.go
@@ -148,7 +148,7 @@
 	for i := range a.Pools {
 		p := &a.Pools[i]
 		if !slices.ContainsFunc(servers, func(s Server) bool { return p.Selects(s.Name, s.Zone, s.Kind) }) {
-			out = append(out, conf.Mistake{File: a.File, Line: p.pos.Line, Column: p.pos.Column, What: "pool " + p.Name,
+			out = append(out, conf.Mistake{File: a.File, Line: max(1, p.pos.Line), Column: max(1, p.pos.Column), What: "pool " + p.Name,
 				Value: "selects none of the listed servers", Want: "zones, kinds and names that some server has"})
 		}
 	}
@@ -228,7 +228,7 @@
 func CheckTogether(apps []*App, m Machine) conf.Mistakes {
 	var out conf.Mistakes
 	at := func(a *App, p conf.Pos, what, value, want string) {
-		out = append(out, conf.Mistake{File: a.File, Line: p.Line, Column: p.Column, What: what, Value: value, Want: want})
+		out = append(out, conf.Mistake{File: a.File, Line: max(1, p.Line), Column: max(1, p.Column), What: what, Value: value, Want: want})
 	}
 	named, listens := map[string]*App{}, map[uint16][]*App{}
 	for _, a := range apps {
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -33,7 +33,7 @@
 // Mistake is one thing that is wrong in a file.
 type Mistake struct {
 	File   string `json:"file"`
-	Line   int    `json:"line"`   // from 1; 0: the file as a whole
+	Line   int    `json:"line"`   // from 1, also for the file as a whole
 	Column int    `json:"column"` // from 1, in bytes
 	What   string `json:"what"`   // the key or thing
 	Value  string `json:"value,omitempty"`
@@ -42,7 +42,7 @@
 
 // String is the mistake on one line: file:line:column: what, value, what is wanted.
 func (m Mistake) String() string {
-	s := fmt.Sprintf("%s:%d:%d: %s", m.File, max(1, m.Line), max(1, m.Column), m.What)
+	s := fmt.Sprintf("%s:%d:%d: %s", m.File, m.Line, m.Column, m.What)
 	if m.Value != "" {
 		s += ", " + m.Value
 	}
@@ -383,7 +383,7 @@
 		d.more++
 		return
 	}
-	d.Mistakes = append(d.Mistakes, Mistake{File: d.File, Line: pos.Line, Column: pos.Column, What: what, Value: value, Want: want})
+	d.Mistakes = append(d.Mistakes, Mistake{File: d.File, Line: max(1, pos.Line), Column: max(1, pos.Column), What: what, Value: value, Want: want})
 }
 
 // Sorted is the mistakes in the file's order.
@@ -396,7 +396,7 @@
 		return a.Column - b.Column
 	})
 	if d.more > 0 {
-		out = append(out, Mistake{File: d.File, What: "the file", Value: fmt.Sprintf("%d more mistakes", d.more), Want: "the ones above mended first"})
+		out = append(out, Mistake{File: d.File, Line: 1, Column: 1, What: "the file", Value: fmt.Sprintf("%d more mistakes", d.more), Want: "the ones above mended first"})
 	}
 	return out
 }
--- /dev/null
+++ b/internal/ctl/demo.go
@@ -0,0 +1,84 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"indigotack/internal/demo"
+)
+
+type demoCommand struct {
+	Duration time.Duration `help:"How long clients send requests, 2s to 1h." default:"20s"`
+	Rate     float64       `help:"Requests a second." default:"240"`
+	Seed     uint64        `help:"Seed of all that is random; 0 draws one."`
+	Log      bool          `help:"Print the sidecar's log as well."`
+}
+
+func (c *demoCommand) Run(o *output) error {
+	if c.Duration < 2*time.Second || c.Duration > time.Hour {
+		return usage("--duration %v, want 2s to 1h", c.Duration)
+	}
+	if !(c.Rate >= 1 && c.Rate <= 5000) {
+		return usage("--rate %v, want 1 to 5000", c.Rate)
+	}
+	if c.Seed == 0 {
+		c.Seed = rand.Uint64()>>33 + 1
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	fmt.Fprintf(o.out, "15 web servers, their discovery, a sidecar and its clients, all on loopback: %v at %v requests a second, seed %d\n", c.Duration, c.Rate, c.Seed)
+	live := terminal(o.out)
+	last := time.Duration(-1)
+	options := demo.Options{Duration: c.Duration, Rate: c.Rate, Seed: c.Seed, Progress: func(p demo.Progress) {
+		line := fmt.Sprintf("%4.1f of %v: %d asked, %d in aim, %d refused, %d failed, %d open; %s", p.At.Seconds(), p.Of, p.Asked, p.InAim, p.Refused, p.Failed, p.Open, orNothing(p.Doing))
+		switch {
+		case live:
+			fmt.Fprintf(o.out, "\r\x1b[K%.118s", line)
+		case p.At-last >= 2*time.Second:
+			last = p.At
+			fmt.Fprintln(o.out, line)
+		}
+	}}
+	if c.Log {
+		options.Log = o.err
+	}
+	report, err := demo.Run(ctx, options)
+	if live {
+		fmt.Fprint(o.out, "\r\x1b[K")
+	}
+	if report != nil {
+		report.Write(o.out)
+	}
+	if errors.Is(err, context.Canceled) {
+		fmt.Fprintln(o.out, "ended early")
+		err = nil
+	}
+	if err == nil && !report.Sound() {
+		err = errMistaken
+	}
+	return err
+}
+
+func orNothing(s string) string {
+	if s == "" {
+		return "all well"
+	}
+	return s
+}
+
+// terminal tells whether lines can be written over.
+func terminal(w io.Writer) bool {
+	f, ok := w.(*os.File)
+	if !ok {
+		return false
+	}
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0 && os.Getenv("TERM") != "dumb"
+}
--- a/internal/node/sidecar_test.go
+++ b/internal/node/sidecar_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -597,3 +598,31 @@
 		}
 	}
 }
+
+// BenchmarkSidecarMemory tells what a sidecar with 1,000 routes holds at rest.
+func BenchmarkSidecarMemory(b *testing.B) {
+	text := sideHead + "[[class]]\nname = \"lido\"\neffect = \"safe\"\n"
+	text = strings.Replace(text, "file = \"servers.toml\"", "discovery = \"127.0.0.1:9\"", 1)
+	for i := range 1000 {
+		text += fmt.Sprintf("[[route]]\nhost = \"h%d.example\"\nprefix = \"/v1/area%d\"\nclass = \"lido\"\n", i%50, i)
+	}
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	for b.Loop() {
+		before := heap()
+		a, err := appconfig.Parse("app.toml", []byte(text))
+		if err != nil {
+			b.Fatal(err)
+		}
+		s, err := NewSidecar(a, 1, quiet)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(heap()-before)/1024, "KiB")
+		runtime.KeepAlive(s)
+	}
+}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -372,3 +372,25 @@
 		t.Errorf("%v allocations", n)
 	}
 }
+
+// BenchmarkServeMux is the standard library's look-up of the same routes, for comparison.
+func BenchmarkServeMux(b *testing.B) {
+	for _, n := range []int{10, 10000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			mux := http.NewServeMux()
+			for _, r := range manyRoutes(n) {
+				mux.Handle(r.Host+r.Path+"/", http.NotFoundHandler())
+			}
+			req, err := http.NewRequest("GET", "http://h7.example/v1/area7/things/42/part", nil)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, pattern := mux.Handler(req); pattern == "" {
+					b.Fatal("not found")
+				}
+			}
+		})
+	}
+}
--- a/test.sh
+++ b/test.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
-# Formatting, vet, and all tests under the race detector. Needs the Go tool chain and a C compiler; no network.
-set -eu
+# Formatting, vet, all tests under the race detector, and a bounded stretch of fuzzing. Needs the Go tool chain and a C compiler; no network.
+set -euo pipefail
 cd "$(dirname "$0")"
 export GOFLAGS=-buildvcs=false GOPROXY=off GOTOOLCHAIN=local
 unformatted=$(gofmt -l cmd decide internal)
@@ -10,3 +10,8 @@
 fi
 go vet ./...
 go test -race -count=1 ./...
+# A count rather than a time, so that a busy machine gives the same verdict.
+fuzz() { go test -run='^$' -fuzz="^$2\$" -fuzztime=20000x "./internal/$1" | grep -v '^fuzz: elapsed'; }
+fuzz conf FuzzTree
+fuzz appconfig FuzzParse
+fuzz route FuzzClean
