Decisions whose cost does not grow with the fleet: files by mode, draws, rounds

Need: each request judged every server in reach, each tick and each change of the list went over all of it: at 1,000 servers a node's whole core went into 2,600 requests a second.

Changed: where more than 64 servers are in reach they are filed by mode, the cold ones apart, and two are drawn and judged; all are looked at only if draws find none, and then not again for 25 ms. Sums stand in for loops; thresholds and rates that age are renewed by rounds of 128 a tick; silent servers, suspects and lapsing modes have lists of their own. A change of the list costs its entries. Up to 64 in reach all are looked at, as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -3,7 +3,6 @@
 // All decisions of a node. The interface (settings, events, actions) is in api.go; docs/design.md says why.
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -23,6 +22,9 @@
 	highPart    = 3.0                    // R as a multiple of H: room for priority work, which comes in lumps
 	worthCut    = 0.1                    // part of the top worth up to which no request counts as priority
 	reachLeast  = 4.0                    // servers that a node works with, at least: some may fail together
+	drawTries   = 16                     // draws from a file of servers before all are looked at
+	barren      = 25 * time.Millisecond  // s; after a look at all that found nobody, draws must do
+	manyPart    = 32                     // changes by more than such a part of the list are a whole list
 	reachNodes  = 30.0                   // nodes that work with a server, on average: it takes few connections
 	poolUnder   = 0.33                   // mean H of the servers in reach under which they are judged together
 	poolSamples = 10.0                   // answers in the time over which their count is smoothed
@@ -96,7 +98,8 @@
 	m.now, m.out = now, nil
 	timer := SetTimer{After: max(tickEvery, m.set.MinTick)}
 	if !m.ticking {
-		m.ticking, m.periodAt, m.askWait, m.askAt = true, now, askFirst, now+m.jitter(askFirst)
+		m.ticking, m.askWait, m.askAt = true, askFirst, now+m.jitter(askFirst)
+		m.beginPeriod()
 		m.looks = m.set.MayProbe && m.set.ReportVia == ReportProbe && 2*m.set.Prices.Probe <= probePoints
 		m.do(timer)
 	}
@@ -117,6 +120,7 @@
 	case SettingsChanged:
 		m.configure(e.Settings)
 		m.relist()
+		m.survey()
 	case ProbeEnded:
 		m.looked(e)
 	case TimerFired:
@@ -140,13 +144,23 @@
 func (m *Module) survey() {
 	rate, count, reach := 0.0, 0.0, 0.0
 	for _, g := range m.groups {
-		reach, g.near = reach+g.reach, g.near[:0]
-		for _, s := range g.list {
-			if s.suspect || s.State != Ready || len(g.near) >= int(g.reach) {
+		if reach += g.reach; g.on {
+			if g.stale {
+				m.refill(g)
+			}
+			m.sweep(g, sweepMost)
+			rate, count = rate+max(0, g.sumRate), count+g.warm // rounding may leave less than nothing
+			continue
+		}
+		g.near = g.near[:0]
+		for i := 0; i < len(g.ring) && len(g.near) < int(g.reach); i++ {
+			s := g.at(i)
+			if s.suspect || s.State != Ready {
 				continue
 			}
-			if g.near, s.high = append(g.near, s), m.high(s); !s.cold {
-				rate, count = rate+m.rateOf(s), count+1
+			own := m.rateOf(s)
+			if g.near, s.high = append(g.near, s), m.high(s, own); !s.cold {
+				rate, count = rate+own, count+1
 			}
 		}
 	}
@@ -175,11 +189,11 @@
 // high is H: by Little's law the requests this node may have at a server that answers as fast as aims want,
 // part of the rate being the fleet's: chance must starve none. Queues stay short, as crowds slow servers; H
 // stays at what keeps a server busy when all slow down at once and shedding could help no aim.
-func (m *Module) high(s *server) float64 {
+func (m *Module) high(s *server, rate float64) float64 {
 	if !m.learned {
 		return 2 * leastWindow / m.sharers
 	}
-	rate := (1-anchor)*m.rateOf(s) + anchor*m.fleetRate
+	rate = (1-anchor)*rate + anchor*m.fleetRate
 	base, mean := m.base, m.mean
 	if k := s.kind; k.base > 0 {
 		base, mean = k.base, k.mean
@@ -189,18 +203,18 @@
 	return math.Max(h, leastWindow/m.sharers)
 }
 
-// modeOf updates and gives a server's mode by the own count. H is rounded by chance, as all nodes
-// together would crowd a server if they rounded up.
+// modeOf updates and gives a server's mode, by its own count or that of all in reach.
 func (m *Module) modeOf(g *group, s *server) Mode {
 	if s.high == 0 {
-		s.high = m.high(s) // beyond reach, tried as those in reach were
+		s.high = m.high(s, m.rateOf(s)) // beyond reach, tried as those in reach were
 	}
-	if m.looks {
+	switch {
+	case m.looks:
 		s.mode = Normal
-	} else if s.mode, s.fill = g.mode, g.fill; !g.pooled {
-		h := math.Floor(s.high + math.Mod(s.dither+m.periodAt.Seconds()*math.Phi, 1))
-		s.own, s.fill = NextMode(s.own, s.n, lowPart*h, h, highPart*h+1), over(s.n, h, highPart*h+1)
-		s.mode = s.own
+	case g.pooled:
+		s.mode, s.fill = g.mode, g.fill
+	default:
+		s.mode = m.counted(s)
 	}
 	if m.now < s.imposedUntil {
 		return max(s.mode, s.imposed)
@@ -208,12 +222,39 @@
 	return s.mode
 }
 
+// counted judges a server by its own count. H is rounded by chance, as all nodes together would crowd a
+// server if they rounded up.
+func (m *Module) counted(s *server) Mode {
+	dither := s.dither + m.phase
+	if dither >= 1 {
+		dither--
+	}
+	h := math.Floor(s.high + dither)
+	s.own, s.fill = NextMode(s.own, s.n, lowPart*h, h, highPart*h+1), over(s.n, h, highPart*h+1)
+	return s.own
+}
+
+// alone is a server's mode by what is known of it alone, for the files.
+func (m *Module) alone(s *server) (mode Mode, fill float64) {
+	if !m.looks {
+		m.counted(s) // from blocking to normal are two steps
+		mode, fill = m.counted(s), s.fill
+	}
+	if m.now < s.imposedUntil {
+		mode = max(mode, s.imposed)
+	}
+	return mode, fill
+}
+
 // pool judges the servers in a group's reach together, by sums of counts and thresholds, where each has under
 // a request of this node: 0 or 1 tells nothing. Smoothed, as a node's few requests come and go by chance.
 func (m *Module) pool(g *group) {
-	n, h := 0.0, 0.0
-	for _, s := range g.near {
-		n, h = n+s.n, h+s.high
+	n, h := g.sumN, g.sumHigh
+	if !g.on {
+		n, h = 0, 0
+		for _, s := range g.near {
+			n, h = n+s.n, h+s.high
+		}
 	}
 	g.pooled = h < poolUnder*float64(len(g.near))
 	tau := math.Min(rateTau, poolSamples/math.Max(1e-9, m.fleetRate*float64(len(g.near))))
@@ -223,7 +264,11 @@
 	g.fill = over(n, h, highPart*h)
 }
 
-func (m *Module) impose(s *server, mode Mode) { s.imposed, s.imposedUntil = mode, m.now+validity }
+func (m *Module) impose(s *server, mode Mode) {
+	s.imposed, s.imposedUntil = mode, m.now+validity
+	m.lapsing = append(m.lapsing, lapse{s, s.imposedUntil})
+	m.touch(s)
+}
 
 // reported lets a server's own count impose a mode until it lapses. H is this node's for all, or after a look
 // what the server can hold and still keep the tightest aim. Late news never blocks: nodes would rush.
@@ -241,13 +286,17 @@
 	if m.unit > 0 {
 		h = 1 + m.running*waitPart*m.tight/m.unit
 	}
-	s.n, s.fill = r.InFlight, over(r.InFlight, h, fullPart*h)
+	s.n, s.fill = r.InFlight, over(r.InFlight, h, fullPart*h) // filed by impose
 	s.told = NextMode(s.told, s.n, lowPart*h, h, fullPart*h)
 	m.impose(s, s.told)
 }
 
 func (m *Module) rateOf(s *server) float64 {
-	return s.rate * decay(m.now-s.rateAt, rateTau) / (1 - decay(m.now-s.since+tickEvery, rateTau))
+	rate, known := s.rate*decay(m.now-s.rateAt, rateTau), m.now-s.since+tickEvery
+	if known.Seconds() > 20*rateTau {
+		return rate
+	}
+	return rate / (1 - decay(known, rateTau))
 }
 
 // latencyOf lets a value that is not renewed drift to the fleet's mean: the server is tried again.
@@ -295,7 +344,7 @@
 			m.learn(&r.attempts[e.Attempt], r, e.Elapsed)
 		}
 		if s.strikes = 0; s.suspect {
-			s.suspect = false
+			m.acquit(s)
 			if r.trial {
 				m.startCold(s, m.now)
 			}
@@ -325,24 +374,35 @@
 func (m *Module) accuse(s *server, why string) {
 	if !s.suspect {
 		s.suspect, s.trialWait, s.trialAt = true, trialFirst, m.now+m.jitter(trialFirst)
+		if m.drop(s); !s.enlisted {
+			s.enlisted, m.suspects = true, append(m.suspects, s)
+		}
 		m.note(s, fmt.Sprintf("suspect: %s; only trial requests", why))
 	}
 }
 
+// acquit leaves the server among the suspects until the next round of checks.
+func (m *Module) acquit(s *server) {
+	s.suspect = false
+	m.stale()
+}
+
 // tryOut sends a request that may be repeated to a suspect whose turn it is, with time left to try again. As
 // the last resort, with suspects alone, it sends any: one that is refused instead would never find them well.
 func (m *Module) tryOut(r *request, last bool) bool {
 	well := func(s *server) bool { return !s.suspect && s.State == Ready }
-	if last && slices.ContainsFunc(r.class.group.list, well) {
+	if g := r.class.group; last && (g.on && len(g.near) > 0 || slices.ContainsFunc(g.ring, well)) {
 		return false
 	}
 	wait := max(m.set.ConnectTimeout, time.Duration(muteFactor*m.mean*r.class.relative*float64(time.Second)))
 	if wait = min(wait, r.class.Aim/3); r.class.Effect == Unsafe {
 		wait = r.deadline // it can't be tried again
 	}
-	for _, s := range m.list {
-		may := s.suspect && m.now >= s.trialAt && (last || r.class.Effect != Unsafe)
-		if may && m.send(r, s, wait) {
+	first := int(m.random() * float64(len(m.suspects))) // nodes must not all begin with the same
+	for i := range m.suspects {
+		s := m.suspects[(first+i)%len(m.suspects)]
+		due := s.suspect && m.now >= s.trialAt && (last || r.class.Effect != Unsafe)
+		if due && m.send(r, s, wait) {
 			s.trialWait = min(2*s.trialWait, trialLast)
 			r.trial, s.trialAt, m.trials = true, m.now+m.jitter(s.trialWait), max(0, m.trials-1)
 			return true
@@ -353,6 +413,7 @@
 
 func (m *Module) startCold(s *server, at Time) {
 	s.cold, s.coldSince, s.tokens, s.tokensAt = true, at, m.random(), m.now
+	m.touch(s)
 }
 
 // warmth is the part of its capacity that a server has by now.
@@ -368,7 +429,7 @@
 // that it can do of the rate of warm ones here, and saves up little: the savings of many nodes are a burst.
 func (m *Module) paced(s *server) bool {
 	warmth := m.warmth(s)
-	if !s.cold || !s.home { // with suspects all around, every node would reach a restarted one
+	if !s.cold || !m.home(s) { // with suspects all around, every node would reach a restarted one
 		return s.cold
 	}
 	part := warmth * math.Max(m.fleetRate, coldStart/m.sharers)
@@ -412,6 +473,10 @@
 	if s.unanswered++; s.unanswered == 1 {
 		s.muteSince = m.now
 	}
+	if s.unanswered >= muteAt && !s.watched {
+		s.watched, m.silent = true, append(m.silent, s)
+	}
+	m.touch(s)
 	m.do(Send{ID: r.id, Server: s.ID, Timeout: min(timeout, r.deadline-m.now)})
 	return true
 }
@@ -470,7 +535,7 @@
 // look asks two more servers for their load and holds the request until they answer or probeWait is up. Acts
 // where reports come by probes alone and are cheap: with many nodes own counts, of 0 or 1, tell nothing.
 func (m *Module) look(r *request) bool {
-	a, b, mode := m.two(r, r.class.group.list)
+	a, b, mode := m.two(r, nil)
 	if !m.looks || r.rounds >= probeRounds || mode == Blocking {
 		return false
 	}
@@ -546,44 +611,181 @@
 	return time.Duration(limitAt * usual * float64(time.Second))
 }
 
-// two draws two random servers in reach that may get a request, of normal ones or else of overloaded ones.
-func (m *Module) two(r *request, from []*server) (a, b *server, mode Mode) {
-	var pools [2][]*server
-	g, seen := r.class.group, 0
+// fit is a server's mode for a request; Blocking where the request may not have it.
+func (m *Module) fit(r *request, s *server) Mode {
+	mode := m.modeOf(r.class.group, s)
+	if m.looks && s.reportAt >= r.lookAt &&
+		(s.n/m.running+r.heavy*r.class.relative)*m.unit/m.warmth(s) > waitPart*r.class.Aim.Seconds() {
+		mode = max(mode, Overloaded) // for a request so heavy
+	}
+	if mode != Blocking && m.paced(s) {
+		return Blocking
+	}
+	return mode
+}
+
+// two finds two random servers that may get a request, of normal ones or else of overloaded ones: among those
+// that were asked, or else of those in reach. Where these are many they are drawn, and all looked at only if
+// that finds none.
+func (m *Module) two(r *request, asked []*server) (a, b *server, mode Mode) {
+	g := r.class.group
 	m.pool(g)
-	for _, s := range from {
-		if seen >= int(g.reach) {
-			break
+	first := len(r.attempts) == 0
+	if g.on && asked == nil {
+		if a, b, mode = m.draw(r, g); a != nil || first && m.now < g.barrenUntil {
+			return a, b, mode
+		}
+	}
+	a, b, mode = m.scan(r, g, asked)
+	if a == nil && asked == nil && first {
+		g.barrenUntil = m.now + barren
+	}
+	return a, b, mode
+}
+
+// draw tries the files of normal and overloaded servers. Cold ones are with the others at first, as they are
+// when all are looked at; but where most are cold, and have spent their budgets, the warm are drawn alone.
+func (m *Module) draw(r *request, g *group) (a, b *server, mode Mode) {
+	for mode := Normal; mode <= Overloaded; mode++ {
+		if len(g.near) == 0 || g.pooled && g.mode != mode {
+			continue
+		}
+		if !g.pooled && len(g.file[2*mode])+len(g.file[2*mode+1]) <= drawTries {
+			m.few = append(append(m.few[:0], g.file[2*mode]...), g.file[2*mode+1]...)
+			if a, b = m.ofFew(r, mode); a != nil {
+				return a, b, mode
+			}
+			continue
+		}
+		for try := range drawTries {
+			s := m.one(g, mode, try < drawTries/2)
+			if s == nil || s == a || !m.usable(r, s, mode) {
+				continue
+			}
+			if a != nil {
+				return a, s, mode
+			}
+			a = s
+		}
+		if a != nil {
+			return a, a, mode
+		}
+	}
+	return nil, nil, Blocking
+}
+
+// one draws a server from the files of a mode, or where all are judged together from all in reach.
+func (m *Module) one(g *group, mode Mode, both bool) *server {
+	if g.pooled {
+		return g.near[int(m.random()*float64(len(g.near)))]
+	}
+	warm, cold := g.file[2*mode], g.file[2*mode+1]
+	n := len(warm)
+	if both || n == 0 {
+		n += len(cold)
+	}
+	if n == 0 {
+		return nil
+	}
+	i := int(m.random() * float64(n))
+	if i < len(warm) {
+		return warm[i]
+	}
+	return cold[i-len(warm)]
+}
+
+// usable judges one that was drawn; its file may be late.
+func (m *Module) usable(r *request, s *server, mode Mode) bool {
+	if s.suspect || !m.maySend(r, s) {
+		return false
+	}
+	if m.fit(r, s) == mode {
+		return true
+	}
+	m.touch(s)
+	return false
+}
+
+// ofFew picks two of m.few.
+func (m *Module) ofFew(r *request, mode Mode) (a, b *server) {
+	m.few = slices.DeleteFunc(m.few, func(s *server) bool { return !m.usable(r, s, mode) })
+	return m.anyTwo(m.few)
+}
+
+func (m *Module) anyTwo(of []*server) (a, b *server) {
+	n := float64(len(of))
+	if n == 0 {
+		return nil, nil
+	}
+	i := int(m.random() * n)
+	return of[i], of[(i+1+int(m.random()*(n-1)))%len(of)]
+}
+
+// scan looks at all servers in reach, or at those that were asked.
+func (m *Module) scan(r *request, g *group, asked []*server) (a, b *server, mode Mode) {
+	m.found[Normal], m.found[Overloaded] = m.found[Normal][:0], m.found[Overloaded][:0]
+	from, size := asked, len(asked)
+	if asked == nil {
+		if from = m.narrow(r, g); from == nil {
+			size = len(g.ring)
+		} else {
+			size = len(from)
+		}
+	}
+	for i, seen := 0, 0; i < size && seen < int(g.reach); i++ {
+		var s *server
+		if from != nil {
+			s = from[i]
+		} else {
+			s = g.at(i)
 		}
 		if s.suspect || !m.maySend(r, s) {
 			continue
 		}
 		seen++
-		mode, wait := m.modeOf(g, s), (s.n/m.running+r.heavy*r.class.relative)*m.unit/m.warmth(s)
-		if m.looks && s.reportAt >= r.lookAt && wait > waitPart*r.class.Aim.Seconds() {
-			mode = max(mode, Overloaded) // for a request so heavy
-		}
-		if mode != Blocking && !m.paced(s) {
-			pools[mode] = append(pools[mode], s)
+		if mode := m.fit(r, s); mode != Blocking {
+			m.found[mode] = append(m.found[mode], s)
 		}
 	}
-	for mode, pool := range pools {
-		if n := float64(len(pool)); n > 0 {
-			i := int(m.random() * n)
-			return pool[i], pool[(i+1+int(m.random()*(n-1)))%len(pool)], Mode(mode)
+	for mode, pool := range m.found {
+		if a, b = m.anyTwo(pool); a != nil {
+			return a, b, Mode(mode)
 		}
 	}
 	return nil, nil, Blocking
 }
 
+// narrow is the servers of the cell that a keyed request must stay in; nil if it need not.
+func (m *Module) narrow(r *request, g *group) []*server {
+	c := r.class
+	if !g.on || c.Effect != Keyed || c.KeyScope != ScopeCell {
+		return nil
+	}
+	for i := range r.attempts {
+		if a := &r.attempts[i]; a.mayRun {
+			if m.cells == nil {
+				m.cells = map[int][]*server{}
+				for _, s := range m.ring {
+					m.cells[s.Cell] = append(m.cells[s.Cell], s)
+				}
+			}
+			if cell := m.cells[a.server.Cell]; cell != nil {
+				return cell
+			}
+			return []*server{}
+		}
+	}
+	return nil
+}
+
 // pick is the ordinary path: of two random normal servers, else overloaded ones, the lower delay wins. Where
 // the node looks first, of those that have answered.
 func (m *Module) pick(r *request) (*server, Mode) {
-	from := r.class.group.list
+	var asked []*server
 	if m.looks {
-		from = r.asked
+		asked = append([]*server{}, r.asked...)
 	}
-	best, other, mode := m.two(r, from)
+	best, other, mode := m.two(r, asked)
 	if mode != Blocking && (other.n+1)*m.latencyOf(other) < (best.n+1)*m.latencyOf(best) {
 		best = other
 	}
@@ -626,6 +828,7 @@
 func (m *Module) uncount(a *attempt) {
 	if !a.uncounted {
 		a.uncounted, a.server.n = true, max(0, a.server.n-1)
+		m.touch(a.server)
 	}
 }
 
@@ -652,14 +855,32 @@
 
 func (m *Module) tick() {
 	m.survey()
-	for _, s := range m.list {
+	m.silent = slices.DeleteFunc(m.silent, func(s *server) bool {
 		if s.unanswered >= muteAt && m.mean > 0 &&
-			(m.now-s.muteSince).Seconds() > muteFactor*math.Max(m.mean, m.latencyOf(s)) {
+			(m.now-s.muteSince).Seconds() > muteFactor*math.Max(m.mean, m.latencyOf(s)) && s.State != Gone {
 			m.accuse(s, "no answer") // to several sends, when the fleet's mean request is long done
 		}
-	}
+		s.watched = s.unanswered >= muteAt && s.State != Gone
+		return !s.watched
+	})
+	m.suspects = slices.DeleteFunc(m.suspects, func(s *server) bool {
+		s.enlisted = s.suspect && s.State != Gone
+		return !s.enlisted
+	})
+	lapsed := 0
+	for ; lapsed < len(m.lapsing) && m.now >= m.lapsing[lapsed].at; lapsed++ {
+		m.touch(m.lapsing[lapsed].server)
+	}
+	m.lapsing = slices.Delete(m.lapsing, 0, lapsed)
 	for _, g := range m.groups {
-		m.pool(g)
+		if m.pool(g); g.on {
+			fill := g.sumFill
+			if g.pooled {
+				fill = g.fill * float64(len(g.near))
+			}
+			g.filled, g.ticks = g.filled+fill, g.ticks+float64(len(g.near))
+			continue
+		}
 		for _, s := range g.near {
 			m.modeOf(g, s)
 			g.filled, g.ticks = g.filled+s.fill, g.ticks+1
@@ -677,7 +898,7 @@
 	}
 	m.open = open
 	if m.now-m.periodAt >= recompute {
-		m.periodAt = m.now
+		m.beginPeriod()
 		for _, g := range m.groups { // with none normal other requests go first, priority ones the nearer to R
 			q := (g.n2 + g.n1*g.filled/math.Max(1, g.ticks)) / math.Max(1, g.n1+g.n2)
 			g.q1, g.q2 = ShedSplit(q, g.n1, g.n2)
@@ -699,8 +920,9 @@
 	if e.Kind != ListCached && m.asking {
 		m.subscribed, m.asking, m.askWait = true, false, askFirst
 	}
+	whole := e.Kind != ListChanges || len(m.ring) <= m.scanUpTo || manyPart*len(e.Entries) > len(m.ring)
 	if e.Kind != ListChanges {
-		for _, s := range m.list {
+		for _, s := range m.ring {
 			s.State = Gone
 		}
 	}
@@ -710,36 +932,86 @@
 			s.suspect, s.strikes, s.unanswered, s.imposedUntil = false, 0, 0, m.now
 			m.startCold(s, n.StartedAt)
 		}
+		if s.listed && !whole && n.State != Gone && (n.Zone != s.Zone || n.Kind != s.Server.Kind) {
+			m.remove(s) // it may be open to other classes now
+			s.listed = false
+		}
 		if s.Server, s.kind = n, m.kindOf(n.Kind); n.State != Ready {
 			m.do(CloseIdle{Server: s.ID}) // those in use follow as they end
+			m.drop(s)
+		}
+		switch {
+		case whole:
+		case n.State == Gone:
+			m.forget(s)
+			m.remove(s)
+		case !s.listed:
+			s.listed = true
+			m.insert(s)
+		default:
+			m.stale()
 		}
 	}
+	if m.cells = nil; !whole {
+		m.reaches() // who is in reach waits for the next round of checks, as changes come in bursts
+		return
+	}
 	m.relist()
+	m.survey()
+}
+
+// forget ends what is known of a server that is gone. Its attempts still know it; ids change for months.
+func (m *Module) forget(s *server) {
+	s.listed, s.suspect = false, false
+	delete(m.known, s.ID)
 }
 
-// relist renews the order of the servers and which are in reach.
+func (m *Module) stale() {
+	for _, g := range m.groups {
+		g.stale = true
+	}
+}
+
+// relist renews the rings from all that is known.
 func (m *Module) relist() {
-	m.list = m.list[:0]
-	for id, s := range m.known {
-		if s.home = false; s.State != Gone {
-			m.list = append(m.list, s)
+	for _, g := range m.groups {
+		m.empty(g)
+	}
+	m.ring = m.ring[:0]
+	for _, s := range m.known {
+		if s.listed = s.State != Gone; s.listed {
+			m.ring = append(m.ring, s)
 			continue
 		}
-		delete(m.known, id) // its attempts still know it; ids change for months
+		m.forget(s)
+	}
+	sortRing(m.ring)
+	for _, g := range m.groups {
+		if g.ring = m.ring; g.placed() {
+			g.ring = slices.DeleteFunc(slices.Clone(m.ring), func(s *server) bool { return !g.open(s) })
+		}
 	}
-	slices.SortFunc(m.list, func(a, b *server) int { return cmp.Compare(a.order, b.order) })
-	start := int(float64(len(m.list)) * math.Mod(float64(m.set.Self)*math.Phi, 1))
-	m.list = append(append([]*server{}, m.list[start:]...), m.list[:start]...)
-	m.sharers = 0
+	m.reaches()
+}
+
+// reaches renews how many servers each group reaches, and from where.
+func (m *Module) reaches() {
+	m.from, m.sharers = int(float64(len(m.ring))*math.Mod(float64(m.set.Self)*math.Phi, 1)), 0
 	for _, g := range m.groups {
-		g.list = slices.DeleteFunc(slices.Clone(m.list), func(s *server) bool { return !g.open(s) })
-		size := float64(len(g.list))
+		if g.from = m.from; !g.placed() {
+			g.ring = m.ring
+		} else if len(m.ring) > 0 {
+			if g.from, _ = find(g.ring, m.ring[m.from]); g.from == len(g.ring) {
+				g.from = 0
+			}
+		}
+		size := float64(len(g.ring))
 		g.reach = math.Min(size, math.Ceil(math.Max(reachLeast, reachNodes*size/float64(m.set.Nodes))))
-		for _, s := range g.list[:int(g.reach)] {
-			s.home = true
+		if on := int(g.reach) > m.scanUpTo; on != g.on {
+			m.empty(g)
+			g.on = on
 		}
 		m.sharers += float64(m.set.Nodes) * g.reach / math.Max(1, size)
 	}
 	m.sharers = math.Max(1, m.sharers)
-	m.survey()
 }
--- a/decide/look_test.go
+++ b/decide/look_test.go
@@ -114,7 +114,7 @@
 		m.Handle(m.now, RequestArrived{ID: id, Class: "page", Patience: time.Second})
 		m.Handle(m.now+2*time.Second, TimerFired{})
 	}
-	if len(m.known) > 25 || len(m.list) > 25 || len(m.requests) > 2 || len(m.open) > 2 || len(m.looking) > 2 {
+	if len(m.known) > 25 || len(m.ring) > 25 || len(m.requests) > 2 || len(m.open) > 2 || len(m.looking) > 2 {
 		t.Errorf("%d servers known, %d requests, %d open, %d looking", len(m.known), len(m.requests), len(m.open), len(m.looking))
 	}
 }
@@ -125,7 +125,7 @@
 	m := lookingNode(lookSettings())
 	m.unit, m.answers = 0, 0
 	m.survey()
-	s := m.list[0]
+	s := m.ring[0]
 	if m.reported(s, report(1, 0)); m.modeOf(m.groups[0], s) != Normal {
 		t.Error("one request is no overload")
 	}
--- a/decide/pool_test.go
+++ b/decide/pool_test.go
@@ -75,10 +75,10 @@
 	m.learned, m.mean, m.base, m.tight, m.fleetRate, m.peak = true, 0.1, 0.1, 1, 0.5, 0.5
 	for _, s := range m.groups[0].near {
 		s.rate, s.rateAt, s.since = 0.5, m.now, m.now-time.Hour
-		s.high = m.high(s)
+		s.high = m.high(s, m.rateOf(s))
 	}
 	if m.pool(m.groups[0]); !m.groups[0].pooled {
-		t.Fatalf("H %v and still not judged together", m.high(m.groups[0].near[0]))
+		t.Fatalf("H %v and still not judged together", m.high(m.groups[0].near[0], m.rateOf(m.groups[0].near[0])))
 	}
 	return m
 }
@@ -89,7 +89,7 @@
 	m := pooledNode(t)
 	h := 0.0
 	for _, s := range m.groups[0].near {
-		h += m.high(s)
+		h += m.high(s, m.rateOf(s))
 	}
 	m.groups[0].near[0].n = 1
 	if m.pool(m.groups[0]); m.groups[0].mode != Normal || m.modeOf(m.groups[0], m.groups[0].near[0]) != Normal {
@@ -144,8 +144,7 @@
 	for self := range 36 {
 		m := manyNodes(self, 360, 60)
 		m.learned, m.mean, m.fleetRate, m.peak, m.base, m.tight = true, 0.1, 0.5, 0.5, 0.1, 1
-		s := m.serverOf(1)
-		s.home = true
+		s := m.groups[0].at(0) // in its reach
 		m.startCold(s, m.now)
 		if !m.paced(s) {
 			sends++
@@ -162,7 +161,7 @@
 // With many suspects, trials must stay a small part of the traffic: each delays a request and costs a connection.
 func TestTrialsAreFew(t *testing.T) {
 	m := manyNodes(1, 360, 60)
-	for _, s := range m.list[:20] {
+	for _, s := range m.ring[:20] {
 		m.accuse(s, "test")
 	}
 	trials := 0
@@ -182,17 +181,17 @@
 func TestRoundingMovesOn(t *testing.T) {
 	m := manyNodes(0, 5, 15)
 	m.learned, m.mean, m.base, m.tight, m.fleetRate, m.peak = true, 0.1, 0.1, 1, 1.5, 1.5
-	for _, s := range m.list {
+	for _, s := range m.ring {
 		open := 0
 		for range 200 {
 			m.now += recompute
-			m.periodAt = m.now
+			m.beginPeriod()
 			m.groups[0].pooled, s.own, s.rate, s.rateAt, s.since = false, Normal, 1.5, m.now, m.now-time.Hour
-			if s.high = m.high(s); m.modeOf(m.groups[0], s) == Normal {
+			if s.high = m.high(s, m.rateOf(s)); m.modeOf(m.groups[0], s) == Normal {
 				open++
 			}
 		}
-		h := m.high(s)
+		h := m.high(s, m.rateOf(s))
 		if part := float64(open) / 200; h >= 1 || part < h-0.1 || part > h+0.1 {
 			t.Errorf("server %d is normal %.2f of the time at H %.2f", s.ID, part, h)
 		}
@@ -206,7 +205,7 @@
 	senders := 0
 	for self := range nodes {
 		m := manyNodes(self, nodes, 60)
-		for _, s := range m.list {
+		for _, s := range m.ring {
 			if s.ID != 1 {
 				m.accuse(s, "test")
 			}
@@ -240,7 +239,7 @@
 		m.judge(s, r, AttemptEnded{Elapsed: took})
 		m.survey()
 	}
-	if fast, slow := m.high(m.known[1]), m.high(m.known[2]); slow < 2*fast {
+	if fast, slow := m.high(m.known[1], m.rateOf(m.known[1])), m.high(m.known[2], m.rateOf(m.known[2])); slow < 2*fast {
 		t.Errorf("H is %.2f for the fast and %.2f for the slow, want about four times as much", fast, slow)
 	}
 	if len(m.kinds) > len(set.Kinds)+1 {
@@ -272,7 +271,7 @@
 				todo = todo[1:]
 			}
 		}
-		for _, s := range m.list {
+		for _, s := range m.ring {
 			if s.strikes > 0 || s.suspect || s.unanswered > 0 {
 				t.Errorf("outcome %d: %v strikes, suspect %v, %d unanswered", code, s.strikes, s.suspect, s.unanswered)
 			}
--- a/decide/state.go
+++ b/decide/state.go
@@ -31,20 +31,25 @@
 	strikes                  float64 // failures since the last success
 	unanswered               int     // sends since the last answer
 	muteSince                Time    // the first of those sends
-	suspect, cold, home      bool    // home: in reach if none were suspects
+	suspect, cold            bool
+	watched, enlisted        bool    // among those that owe answers; among the suspects
+	listed                   bool    // on the ring
 	order                    uint64  // its place on the ring
 	fill                     float64 // where its count stands between H, 0, and R, 1
 	trialAt, coldSince       Time
 	trialWait                time.Duration
 	tokens                   float64 // sends that its budget allows while cold
 	tokensAt                 Time
-	quietUntil               Time // no log line about it until then
+	quietUntil               Time    // no log line about it until then
+	places                   []place // in the groups' reach, by their numbers
 }
 
 // group holds the classes of one placement: thresholds and shedding are judged over the servers open to it.
 type group struct {
 	zones, kinds        []string  // that are open to it; nil: all
-	list, near          []*server // of the fleet, by place on the ring; in reach
+	index                         // of those in reach, where they are many
+	ring, near          []*server // of the fleet, by place on the ring; in reach
+	from                int       // this node's place on the ring
 	reach               float64   // how many servers are in reach
 	pooled              bool      // they are judged together, with the mode and fill below
 	mode                Mode
@@ -102,6 +107,7 @@
 	set                Settings
 	rng                uint64
 	now, periodAt      Time
+	phase              float64 // of the period, by which H is rounded
 	out                []Action
 	classes            map[string]*class
 	order              []*class
@@ -109,7 +115,14 @@
 	known              map[ServerID]*server
 	groups             []*group
 	kinds              map[string]*kind
-	list               []*server  // those not gone, by their place on the ring, from this node's on
+	ring               []*server         // those not gone, by their place on the ring
+	from               int               // this node's place on it
+	scanUpTo           int               // servers in reach that are looked at one by one
+	silent, suspects   []*server         // that owe answers to several sends; that get trials alone
+	lapsing            []lapse           // imposed modes, by when they lapse
+	cells              map[int][]*server // by cell, made when needed; nil after a change of the list
+	found              [2][]*server      // scratch, as few is
+	few                []*server
 	sharers            float64    // how many nodes a server is in reach of, on average
 	looking            []*request // that wait for answers to probes
 	running            float64    // requests that a server works on at once, by its reports
@@ -133,7 +146,7 @@
 func New(s Settings, seed int64) *Module {
 	m := &Module{rng: uint64(seed)*2 + 1, budget: retryBurst, known: map[ServerID]*server{}, kinds: map[string]*kind{},
 		requests: map[RequestID]*request{}}
-	m.running, m.tight = 1, math.Inf(1)
+	m.running, m.tight, m.scanUpTo = 1, math.Inf(1), scanUpTo
 	m.configure(s)
 	m.sharers = float64(m.set.Nodes)
 	return m
@@ -199,7 +212,7 @@
 			return g
 		}
 	}
-	m.groups = append(m.groups, &group{zones: zones, kinds: kinds})
+	m.groups = append(m.groups, &group{zones: zones, kinds: kinds, index: index{number: len(m.groups)}})
 	return m.groups[len(m.groups)-1]
 }
 
@@ -220,6 +233,9 @@
 	return m.known[id]
 }
 
+// beginPeriod also moves the rounding of thresholds on, by the golden ratio.
+func (m *Module) beginPeriod() { m.periodAt, m.phase = m.now, math.Mod(m.now.Seconds()*math.Phi, 1) }
+
 func (m *Module) do(a Action) { m.out = append(m.out, a) }
 
 // note logs a line about a server, at most one in 5 s, so that one that fails and recovers all the time fills no disk.
--- a/decide/suspect_test.go
+++ b/decide/suspect_test.go
@@ -118,8 +118,8 @@
 	next.Tenants = []Tenant{{Name: "t", Quota: 3}}
 	m.Handle(at, SettingsChanged{Settings: next})
 	page := m.classes["page"]
-	if m.mean != mean || page.count != count || page.Effect != Unsafe || len(m.list) != 1 || m.groups[0].top != 9 || m.tenants["t"] == nil {
-		t.Errorf("mean %v, count %v, class %+v, list %v, top %v", m.mean, page.count, page.Class, m.list, m.groups[0].top)
+	if m.mean != mean || page.count != count || page.Effect != Unsafe || len(m.ring) != 1 || m.groups[0].top != 9 || m.tenants["t"] == nil {
+		t.Errorf("mean %v, count %v, class %+v, list %v, top %v", m.mean, page.count, page.Class, m.ring, m.groups[0].top)
 	}
 	if r := m.requests["100"]; r.class != before || r.class.Effect != Safe || r.most != 3 {
 		t.Errorf("the request in hand has class %+v, %d attempts", r.class.Class, r.most)
