--- a/decide/decide.go
+++ b/decide/decide.go
@@ -648,10 +648,11 @@
 // when all are looked at; but where most are cold, and have spent their budgets, the warm are drawn alone.
 func (m *Module) draw(r *request, g *group) (a, b *server, mode Mode) {
 	for mode := Normal; mode <= Overloaded; mode++ {
-		if len(g.near) == 0 || g.pooled && g.mode != mode {
+		together := g.pooled && !m.looks // after looks servers tell of themselves
+		if len(g.near) == 0 || together && g.mode != mode {
 			continue
 		}
-		if !g.pooled && len(g.file[2*mode])+len(g.file[2*mode+1]) <= drawTries {
+		if !together && len(g.file[2*mode])+len(g.file[2*mode+1]) <= drawTries {
 			m.few = append(append(m.few[:0], g.file[2*mode]...), g.file[2*mode+1]...)
 			if a, b = m.ofFew(r, mode); a != nil {
 				return a, b, mode
@@ -659,7 +660,7 @@
 			continue
 		}
 		for try := range drawTries {
-			s := m.one(g, mode, try < drawTries/2)
+			s := m.one(g, mode, together, try < drawTries/2)
 			if s == nil || s == a || !m.usable(r, s, mode) {
 				continue
 			}
@@ -676,8 +677,8 @@
 }
 
 // one draws a server from the files of a mode, or where all are judged together from all in reach.
-func (m *Module) one(g *group, mode Mode, both bool) *server {
-	if g.pooled {
+func (m *Module) one(g *group, mode Mode, together, both bool) *server {
+	if together {
 		return g.near[int(m.random()*float64(len(g.near)))]
 	}
 	warm, cold := g.file[2*mode], g.file[2*mode+1]
