--- a/internal/ctl/demo.go
+++ b/internal/ctl/demo.go
@@ -16,7 +16,8 @@
 
 type demoCommand struct {
 	Duration time.Duration `help:"How long clients send requests, 2s to 1h." default:"20s"`
-	Rate     float64       `help:"Requests a second." default:"240"`
+	Rate     float64       `help:"Requests a second; 0 for none, so that a load generator of yours can send." default:"240"`
+	Listen   string        `help:"Where the sidecar listens; any port if empty."`
 	Seed     uint64        `help:"Seed of all that is random; 0 draws one."`
 	Log      bool          `help:"Print the sidecar's log as well."`
 }
@@ -25,8 +26,8 @@
 	if c.Duration < 2*time.Second || c.Duration > time.Hour {
 		return usage("--duration %v, want 2s to 1h", c.Duration)
 	}
-	if !(c.Rate >= 1 && c.Rate <= 5000) {
-		return usage("--rate %v, want 1 to 5000", c.Rate)
+	if c.Rate != 0 && !(c.Rate >= 1 && c.Rate <= 5000) {
+		return usage("--rate %v, want 0, or 1 to 5000", c.Rate)
 	}
 	if c.Seed == 0 {
 		c.Seed = rand.Uint64()>>33 + 1
@@ -36,7 +37,9 @@
 	fmt.Fprintf(o.out, "15 web servers, their discovery, a sidecar and its clients, all on loopback: %v at %v requests a second, seed %d\n", c.Duration, c.Rate, c.Seed)
 	live := terminal(o.out)
 	last := time.Duration(-1)
-	options := demo.Options{Duration: c.Duration, Rate: c.Rate, Seed: c.Seed, Progress: func(p demo.Progress) {
+	options := demo.Options{Duration: c.Duration, Rate: c.Rate, Seed: c.Seed, Listen: c.Listen, Ready: func(address string) {
+		fmt.Fprintf(o.out, "the sidecar serves at http://%s\n", address)
+	}, Progress: func(p demo.Progress) {
 		line := fmt.Sprintf("%4.1f of %v: %d asked, %d in aim, %d refused, %d failed, %d open; %s", p.At.Seconds(), p.Of, p.Asked, p.InAim, p.Refused, p.Failed, p.Open, orNothing(p.Doing))
 		switch {
 		case live:
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -4,6 +4,7 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -26,7 +27,9 @@
 // Options of a demonstration.
 type Options struct {
 	Duration time.Duration
-	Rate     float64 // requests a second
+	Rate     float64              // requests a second; 0: no clients, others may send
+	Listen   string               // where the sidecar listens; "" for any port
+	Ready    func(address string) // called when it serves; may be nil
 	Seed     uint64
 	Progress func(Progress) // called about twice a second; may be nil
 	Log      io.Writer      // the sidecar's log; nil for none
@@ -109,7 +112,10 @@
 
 // Run carries out a demonstration.
 func Run(ctx context.Context, o Options) (*Report, error) {
-	s := &stage{Options: o, ledger: standin.NewLedger()}
+	s := &stage{Options: o}
+	if o.Rate > 0 {
+		s.ledger = standin.NewLedger() // it must know every request
+	}
 	var err error
 	if s.registry, err = standin.NewRegistry(); err != nil {
 		return nil, err
@@ -143,11 +149,21 @@
 	if err := ready(ctx, ln.Addr().String()+app.Health+"/ready"); err != nil {
 		return nil, err
 	}
+	if o.Ready != nil {
+		o.Ready(ln.Addr().String())
+	}
 	clients := &standin.Clients{Base: "http://" + ln.Addr().String(), Classes: classes(app), Rate: o.Rate, Seed: o.Seed, Ledger: s.ledger}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		clients.Run(ctx, o.Duration)
+		if o.Rate > 0 {
+			clients.Run(ctx, o.Duration)
+			return
+		}
+		select {
+		case <-time.After(o.Duration):
+		case <-ctx.Done():
+		}
 	}()
 	s.play(ctx, clients, done)
 	<-done
@@ -158,8 +174,10 @@
 	closeAll()
 	s.report.Classes, _ = clients.Results()
 	s.report.Servers = s.shares
-	checked, broken, told := s.ledger.Report()
-	s.report.Checked, s.report.Broken, s.report.Told = checked[:], broken[:], told
+	if s.ledger != nil {
+		checked, broken, told := s.ledger.Report()
+		s.report.Checked, s.report.Broken, s.report.Told = checked[:], broken[:], told
+	}
 	return &s.report, ctx.Err()
 }
 
@@ -188,7 +206,7 @@
 
 // file has the generator write the portal's file, and reads it as an operator's would be read.
 func (s *stage) file() (*appconfig.App, net.Listener, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", cmp.Or(s.Listen, "127.0.0.1:0"))
 	if err != nil {
 		return nil, nil, err
 	}
@@ -333,6 +351,9 @@
 		fmt.Fprintln(w)
 	}
 	fmt.Fprintf(w, "\n%s\n", strings.Join(r.Events, "\n"))
+	if r.Checked == nil {
+		return
+	}
 	fmt.Fprintf(w, "\n%-45s %8s %7s\n", "rule", "checked", "broken")
 	for i, name := range standin.RuleNames {
 		fmt.Fprintf(w, "%d. %-42s %8d %7d\n", i+1, name, r.Checked[i], r.Broken[i])
