What the command lines share is one package

Need: indigoctl and indigoload told errors and exit statuses by copies of one piece of code. Changed: internal/cli has parsing, errors, statuses and the terminal; both use it. Measured: their tests, unchanged, pass.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -15,24 +15,13 @@
 	"github.com/alecthomas/kong"
 
 	"indigotack/internal/appconfig"
+	"indigotack/internal/cli"
 	"indigotack/internal/conf"
 	"indigotack/internal/route"
 )
 
-// Exit statuses.
-const (
-	sound    = 0
-	mistaken = 1
-	misused  = 2
-)
-
 // errMistaken says that mistakes were found and have been printed.
-var errMistaken = errors.New("mistakes were found")
-
-// usageError is a call that can't be carried out as it is.
-type usageError struct{ error }
-
-func usage(format string, args ...any) error { return usageError{fmt.Errorf(format, args...)} }
+var errMistaken = cli.Status(cli.Failed)
 
 type commands struct {
 	Init     initCommand     `cmd:"" help:"Print a commented file for one application."`
@@ -44,47 +33,11 @@
 	Demo     demoCommand     `cmd:"" help:"Show a sidecar at work with stand-in servers and clients, all on loopback."`
 }
 
-// output is where commands print.
-type output struct{ out, err io.Writer }
-
 // Main carries out one call and returns its exit status.
-func Main(args []string, stdout, stderr io.Writer) (status int) {
+func Main(args []string, stdout, stderr io.Writer) int {
 	var c commands
-	exited := -1
-	parser, err := kong.New(&c, kong.Name("indigoctl"), kong.Writers(stdout, stderr), kong.Exit(func(n int) { exited = n }),
-		kong.Description("Writes, checks, compares and explains the files of indigotack sidecars.\nExit status: 0 sound, 1 mistakes, 2 usage."),
-		kong.UsageOnError(), kong.Vars{"kinds": strings.Join(appconfig.Kinds, ",")})
-	if err != nil {
-		fmt.Fprintln(stderr, "indigoctl:", err)
-		return misused
-	}
-	if len(args) == 0 {
-		args = []string{"--help"}
-	}
-	parsed, err := parser.Parse(args)
-	if exited >= 0 { // help was printed
-		return exited
-	}
-	if err == nil {
-		err = parsed.Run(&output{out: stdout, err: stderr})
-	}
-	var wrong usageError
-	var parse *kong.ParseError
-	var list conf.Mistakes
-	switch {
-	case err == nil:
-		return sound
-	case errors.Is(err, errMistaken):
-		return mistaken
-	case errors.As(err, &list):
-		fmt.Fprintln(stderr, list)
-		return mistaken
-	case errors.As(err, &wrong), errors.As(err, &parse):
-		fmt.Fprintln(stderr, "indigoctl:", err)
-		return misused
-	}
-	fmt.Fprintln(stderr, "indigoctl:", err)
-	return mistaken
+	return cli.Run(&c, args, stdout, stderr, "indigoctl", kong.UsageOnError(), kong.Vars{"kinds": strings.Join(appconfig.Kinds, ",")},
+		kong.Description("Writes, checks, compares and explains the files of indigotack sidecars.\nExit status: 0 sound, 1 mistakes, 2 usage."))
 }
 
 type initCommand struct {
@@ -96,7 +49,7 @@
 	Host      []string `help:"A host's name; may be given more than once."`
 }
 
-func (c *initCommand) Run(o *output) error {
+func (c *initCommand) Run(o *cli.Output) error {
 	p := appconfig.Params{Name: c.Name, Kind: c.Kind, Listen: c.Listen, Discovery: c.Discovery, ServerFile: c.Servers, Hosts: c.Host}
 	if p.Discovery == "" && p.ServerFile == "" {
 		p.Discovery = "127.0.0.1:8500"
@@ -108,9 +61,9 @@
 		check.Discovery = "127.0.0.1:8500"
 	}
 	if _, err := appconfig.Parse("init", []byte(appconfig.Template(check))); err != nil {
-		return usage("these values do not make a sound file:\n%w", err)
+		return cli.Usage("these values do not make a sound file:\n%w", err)
 	}
-	_, err := io.WriteString(o.out, text)
+	_, err := io.WriteString(o.Out, text)
 	return err
 }
 
@@ -119,7 +72,7 @@
 	Out  string `help:"Folder for the files." default:"."`
 }
 
-func (c *generateCommand) Run(o *output) error {
+func (c *generateCommand) Run(o *cli.Output) error {
 	site, err := appconfig.LoadSite(c.Site)
 	if err != nil {
 		return err
@@ -150,9 +103,9 @@
 			return err
 		}
 		changed++
-		fmt.Fprintln(o.out, "wrote", path)
+		fmt.Fprintln(o.Out, "wrote", path)
 	}
-	fmt.Fprintf(o.out, "%d files, %d changed\n", len(names), changed)
+	fmt.Fprintf(o.Out, "%d files, %d changed\n", len(names), changed)
 	return nil
 }
 
@@ -182,7 +135,7 @@
 	Cores       float64  `help:"The machine's cores for all applications."`
 }
 
-func (c *checkCommand) Run(o *output) error {
+func (c *checkCommand) Run(o *cli.Output) error {
 	var all conf.Mistakes
 	var apps []*appconfig.App
 	machine := appconfig.Machine{MemoryMB: c.MemoryMB, Descriptors: c.Descriptors, Cores: c.Cores}
@@ -220,17 +173,17 @@
 		if all == nil {
 			all = conf.Mistakes{}
 		}
-		enc := json.NewEncoder(o.out)
+		enc := json.NewEncoder(o.Out)
 		enc.SetIndent("", "  ")
 		if err := enc.Encode(all); err != nil {
 			return err
 		}
 	} else {
 		for _, m := range all {
-			fmt.Fprintln(o.out, m)
+			fmt.Fprintln(o.Out, m)
 		}
 		if len(all) == 0 {
-			fmt.Fprintf(o.out, "%d files, no mistakes\n", len(c.Files))
+			fmt.Fprintf(o.Out, "%d files, no mistakes\n", len(c.Files))
 		}
 	}
 	if len(all) > 0 {
@@ -255,7 +208,7 @@
 	JSON bool   `name:"json" help:"Print the changes as a JSON array."`
 }
 
-func (c *diffCommand) Run(o *output) error {
+func (c *diffCommand) Run(o *cli.Output) error {
 	old, err := appconfig.Load(c.Old)
 	if err != nil {
 		return err
@@ -269,7 +222,7 @@
 		if changes == nil {
 			changes = []appconfig.Change{}
 		}
-		enc := json.NewEncoder(o.out)
+		enc := json.NewEncoder(o.Out)
 		enc.SetIndent("", "  ")
 		return enc.Encode(changes)
 	}
@@ -278,10 +231,10 @@
 		if ch.Restart {
 			mark = "RESTART "
 		}
-		fmt.Fprintln(o.out, mark, ch.What)
+		fmt.Fprintln(o.Out, mark, ch.What)
 	}
 	if len(changes) == 0 {
-		fmt.Fprintln(o.out, "no request fares differently")
+		fmt.Fprintln(o.Out, "no request fares differently")
 	}
 	return nil
 }
@@ -295,7 +248,7 @@
 	Client string   `help:"The client's address, for weights without a key." default:"127.0.0.1"`
 }
 
-func (c *explainCommand) Run(o *output) error {
+func (c *explainCommand) Run(o *cli.Output) error {
 	app, err := appconfig.Load(c.File)
 	if err != nil {
 		return err
@@ -304,7 +257,7 @@
 	for _, line := range c.Header {
 		name, value, ok := strings.Cut(line, ":")
 		if !ok || strings.TrimSpace(name) == "" {
-			return usage("--header %q, want 'Name: value'", line)
+			return cli.Usage("--header %q, want 'Name: value'", line)
 		}
 		h.Add(strings.TrimSpace(name), strings.TrimSpace(value))
 	}
@@ -314,7 +267,7 @@
 		return err
 	}
 	for _, line := range chooser.Explain(&route.Request{Method: c.Method, Host: c.Host, Path: path, Header: h, Client: c.Client}) {
-		fmt.Fprintln(o.out, line)
+		fmt.Fprintln(o.Out, line)
 	}
 	return nil
 }
--- a/internal/ctl/demo.go
+++ b/internal/ctl/demo.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
+	"indigotack/internal/cli"
 	"indigotack/internal/demo"
 )
 
@@ -22,45 +22,45 @@
 	Log      bool          `help:"Print the sidecar's log as well."`
 }
 
-func (c *demoCommand) Run(o *output) error {
+func (c *demoCommand) Run(o *cli.Output) error {
 	if c.Duration < 2*time.Second || c.Duration > time.Hour {
-		return usage("--duration %v, want 2s to 1h", c.Duration)
+		return cli.Usage("--duration %v, want 2s to 1h", c.Duration)
 	}
 	if c.Rate != 0 && !(c.Rate >= 1 && c.Rate <= 5000) {
-		return usage("--rate %v, want 0, or 1 to 5000", c.Rate)
+		return cli.Usage("--rate %v, want 0, or 1 to 5000", c.Rate)
 	}
 	if c.Seed == 0 {
 		c.Seed = rand.Uint64()>>33 + 1
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	fmt.Fprintf(o.out, "15 web servers, their discovery, a sidecar and its clients, all on loopback: %v at %v requests a second, seed %d\n", c.Duration, c.Rate, c.Seed)
-	live := terminal(o.out)
+	fmt.Fprintf(o.Out, "15 web servers, their discovery, a sidecar and its clients, all on loopback: %v at %v requests a second, seed %d\n", c.Duration, c.Rate, c.Seed)
+	live := cli.Terminal(o.Out)
 	last := time.Duration(-1)
 	options := demo.Options{Duration: c.Duration, Rate: c.Rate, Seed: c.Seed, Listen: c.Listen, Ready: func(address string) {
-		fmt.Fprintf(o.out, "the sidecar serves at http://%s\n", address)
+		fmt.Fprintf(o.Out, "the sidecar serves at http://%s\n", address)
 	}, Progress: func(p demo.Progress) {
 		line := fmt.Sprintf("%4.1f of %v: %d asked, %d in aim, %d refused, %d failed, %d open; %s", p.At.Seconds(), p.Of, p.Asked, p.InAim, p.Refused, p.Failed, p.Open, orNothing(p.Doing))
 		switch {
 		case live:
-			fmt.Fprintf(o.out, "\r\x1b[K%.118s", line)
+			fmt.Fprintf(o.Out, "\r\x1b[K%.118s", line)
 		case p.At-last >= 2*time.Second:
 			last = p.At
-			fmt.Fprintln(o.out, line)
+			fmt.Fprintln(o.Out, line)
 		}
 	}}
 	if c.Log {
-		options.Log = o.err
+		options.Log = o.Err
 	}
 	report, err := demo.Run(ctx, options)
 	if live {
-		fmt.Fprint(o.out, "\r\x1b[K")
+		fmt.Fprint(o.Out, "\r\x1b[K")
 	}
 	if report != nil {
-		report.Write(o.out)
+		report.Write(o.Out)
 	}
 	if errors.Is(err, context.Canceled) {
-		fmt.Fprintln(o.out, "ended early")
+		fmt.Fprintln(o.Out, "ended early")
 		err = nil
 	}
 	if err == nil && !report.Sound() {
@@ -75,13 +75,3 @@
 	}
 	return s
 }
-
-// terminal tells whether lines can be written over.
-func terminal(w io.Writer) bool {
-	f, ok := w.(*os.File)
-	if !ok {
-		return false
-	}
-	info, err := f.Stat()
-	return err == nil && info.Mode()&os.ModeCharDevice != 0 && os.Getenv("TERM") != "dumb"
-}
--- a/internal/ctl/simulate.go
+++ b/internal/ctl/simulate.go
@@ -2,8 +2,9 @@
 
 import (
 	"fmt"
-	"os"
+	"io"
 
+	"indigotack/internal/cli"
 	"indigotack/internal/fleetsim"
 )
 
@@ -14,7 +15,7 @@
 	Seed   uint64   `help:"Another seed than the plan's."`
 }
 
-func (c *simulateCommand) Run(o *output) error {
+func (c *simulateCommand) Run(o *cli.Output) error {
 	plan, err := fleetsim.LoadPlan(c.Plan)
 	if err != nil {
 		return err
@@ -30,7 +31,7 @@
 				known = known || string(p) == name
 			}
 			if !known {
-				return usage("--policy %q, want module, random, round-robin or least-in-flight", name)
+				return cli.Usage("--policy %q, want module, random, round-robin or least-in-flight", name)
 			}
 			plan.Policies = append(plan.Policies, fleetsim.Policy(name))
 		}
@@ -39,20 +40,12 @@
 	for _, p := range plan.Policies {
 		results = append(results, fleetsim.Run(plan, p))
 	}
-	fleetsim.WriteTable(o.out, plan, results)
+	fleetsim.WriteTable(o.Out, plan, results)
+	if err := cli.WriteTo(c.HTML, func(w io.Writer) error { return fleetsim.WriteHTML(w, plan, results) }); err != nil {
+		return err
+	}
 	if c.HTML != "" {
-		f, err := os.Create(c.HTML)
-		if err != nil {
-			return err
-		}
-		if err := fleetsim.WriteHTML(f, plan, results); err != nil {
-			f.Close()
-			return err
-		}
-		if err := f.Close(); err != nil {
-			return err
-		}
-		fmt.Fprintln(o.out, "wrote", c.HTML)
+		fmt.Fprintln(o.Out, "wrote", c.HTML)
 	}
 	for _, r := range results {
 		for _, n := range r.Broken {
--- a/internal/loadctl/loadctl.go
+++ b/internal/loadctl/loadctl.go
@@ -15,25 +15,12 @@
 
 	"github.com/alecthomas/kong"
 
-	"indigotack/internal/conf"
+	"indigotack/internal/cli"
 	"indigotack/internal/load"
 )
 
-// Exit statuses.
-const (
-	sound   = 0
-	failed  = 1
-	misused = 2
-	invalid = 4
-)
-
-var errInvalid = errors.New("the run is not valid")
-
-type usageError struct{ error }
-
-func usage(format string, args ...any) error { return usageError{fmt.Errorf(format, args...)} }
-
-type output struct{ out, err io.Writer }
+// errInvalid: the run says nothing of its target. It has been told why.
+var errInvalid = cli.Status(4)
 
 type commands struct {
 	Run     runCommand     `cmd:"" help:"Send load and report."`
@@ -45,40 +32,8 @@
 // Main carries out one call and returns its exit status.
 func Main(args []string, stdout, stderr io.Writer) int {
 	var c commands
-	exited := -1
-	parser, err := kong.New(&c, kong.Name("indigoload"), kong.Writers(stdout, stderr), kong.Exit(func(n int) { exited = n }),
+	return cli.Run(&c, args, stdout, stderr, "indigoload",
 		kong.Description("An open-loop load generator. Exit status: 0 valid, 1 error, 2 usage, 4 the generator could not keep up."))
-	if err != nil {
-		fmt.Fprintln(stderr, "indigoload:", err)
-		return misused
-	}
-	if len(args) == 0 {
-		args = []string{"--help"}
-	}
-	parsed, err := parser.Parse(args)
-	if exited >= 0 {
-		return exited
-	}
-	if err == nil {
-		err = parsed.Run(&output{stdout, stderr})
-	}
-	var wrong usageError
-	var parse *kong.ParseError
-	var list conf.Mistakes
-	switch {
-	case err == nil:
-		return sound
-	case errors.Is(err, errInvalid):
-		return invalid
-	case errors.As(err, &list):
-		fmt.Fprintln(stderr, list)
-		return failed
-	case errors.As(err, &wrong), errors.As(err, &parse):
-		fmt.Fprintln(stderr, "indigoload:", err)
-		return misused
-	}
-	fmt.Fprintln(stderr, "indigoload:", err)
-	return failed
 }
 
 type runCommand struct {
@@ -97,9 +52,9 @@
 	HTML     string        `name:"html" help:"Write a page to this file."`
 }
 
-func (c *runCommand) Run(o *output) error {
+func (c *runCommand) Run(o *cli.Output) error {
 	if !(c.Speed > 0 && c.Speed <= 1e4) {
-		return usage("--speed %v, want over 0 and up to 10,000", c.Speed)
+		return cli.Usage("--speed %v, want over 0 and up to 10,000", c.Speed)
 	}
 	plan, err := c.plan()
 	if err != nil {
@@ -114,7 +69,7 @@
 			target += ":80"
 		}
 	} else if err == nil && u.Scheme == "https" {
-		return usage("--target %s: TLS is not spoken", target)
+		return cli.Usage("--target %s: TLS is not spoken", target)
 	}
 	var trace *load.Trace
 	if c.Trace != "" {
@@ -128,35 +83,35 @@
 			return fmt.Errorf("%s: %w", c.Trace, err)
 		}
 		if err := trace.Play(c.Speed, c.Loop, c.Cut, c.Unsafe); err != nil {
-			return usageError{err}
+			return cli.Usage("%w", err)
 		}
 		if n := trace.Withheld(); n > 0 {
-			fmt.Fprintf(o.out, "%d requests of the trace are not safe and are not sent: --unsafe sends them\n", n)
+			fmt.Fprintf(o.Out, "%d requests of the trace are not safe and are not sent: --unsafe sends them\n", n)
 		}
 	} else if c.Speed != 1 {
 		plan.Faster(c.Speed)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	live, last := terminal(o.out), time.Duration(-1)
+	live, last := cli.Terminal(o.Out), time.Duration(-1)
 	report, err := load.Run(ctx, plan, trace, load.Options{Target: target, Progress: func(p load.Progress) {
 		line := fmt.Sprintf("%5.1f of %v: %d sent, %d answered, %d errors, %d open, %.0f a second, p99 %.1f ms", p.At.Seconds(), p.Of, p.Sent, p.Answered, p.Errors, p.Open, p.Rate, float64(p.P99)/1e6)
 		switch {
 		case live:
-			fmt.Fprintf(o.out, "\r\x1b[K%.118s", line)
+			fmt.Fprintf(o.Out, "\r\x1b[K%.118s", line)
 		case p.At-last >= 5*time.Second:
 			last = p.At
-			fmt.Fprintln(o.out, line)
+			fmt.Fprintln(o.Out, line)
 		}
 	}})
 	if live {
-		fmt.Fprint(o.out, "\r\x1b[K")
+		fmt.Fprint(o.Out, "\r\x1b[K")
 	}
 	if err != nil {
 		return err
 	}
-	report.Table(o.out)
-	if err := errors.Join(writeTo(c.JSON, report.Write), writeTo(c.HTML, report.WriteHTML)); err != nil {
+	report.Table(o.Out)
+	if err := errors.Join(cli.WriteTo(c.JSON, report.Write), cli.WriteTo(c.HTML, report.WriteHTML)); err != nil {
 		return err
 	}
 	if !report.Valid {
@@ -169,37 +124,17 @@
 	switch {
 	case c.Plan != "":
 		if c.Rate != 0 || c.Duration != 0 {
-			return nil, usage("either --plan or --rate and --duration")
+			return nil, cli.Usage("either --plan or --rate and --duration")
 		}
 		return load.LoadPlan(c.Plan)
 	case c.Trace != "":
 		return load.ParsePlan("trace", []byte("version = 1\nname = \"trace\"\n[[phase]]\nrate = 0\nfor = \"1ms\"\n"))
 	case !(c.Rate > 0) || c.Duration < time.Millisecond:
-		return nil, usage("want --plan, --trace, or --rate and --duration")
+		return nil, cli.Usage("want --plan, --trace, or --rate and --duration")
 	}
 	return load.ParsePlan("command line", fmt.Appendf(nil, "version = 1\n[[phase]]\nrate = %f\nfor = %q\n[[class]]\nname = \"default\"\npath = %q\n", c.Rate, c.Duration.String(), c.Path))
 }
 
-func writeTo(path string, write func(io.Writer) error) error {
-	if path == "" {
-		return nil
-	}
-	f, err := os.Create(path)
-	if err != nil {
-		return err
-	}
-	return errors.Join(write(f), f.Close())
-}
-
-func terminal(w io.Writer) bool {
-	f, ok := w.(*os.File)
-	if !ok {
-		return false
-	}
-	info, err := f.Stat()
-	return err == nil && info.Mode()&os.ModeCharDevice != 0 && os.Getenv("TERM") != "dumb"
-}
-
 type importCommand struct {
 	File   string `arg:"" help:"The record; - for standard input."`
 	Format string `help:"clf (Common or Combined Log Format), har or lines." enum:"clf,har,lines" default:"clf"`
@@ -207,7 +142,7 @@
 	Out    string `help:"The trace." required:""`
 }
 
-func (c *importCommand) Run(o *output) error {
+func (c *importCommand) Run(o *cli.Output) error {
 	in := os.Stdin
 	if c.File != "-" {
 		f, err := os.Open(c.File)
@@ -222,10 +157,10 @@
 		return fmt.Errorf("%s: %w", c.File, err)
 	}
 	for _, n := range t.Notes {
-		fmt.Fprintln(o.out, n)
+		fmt.Fprintln(o.Out, n)
 	}
-	fmt.Fprintf(o.out, "%d requests over %v\n", len(t.Lines), t.Length().Round(time.Millisecond))
-	return writeTo(c.Out, t.Write)
+	fmt.Fprintf(o.Out, "%d requests over %v\n", len(t.Lines), t.Length().Round(time.Millisecond))
+	return cli.WriteTo(c.Out, t.Write)
 }
 
 type mergeCommand struct {
@@ -234,7 +169,7 @@
 	HTML    string   `name:"html" help:"Write a page to this file."`
 }
 
-func (c *mergeCommand) Run(o *output) error {
+func (c *mergeCommand) Run(o *cli.Output) error {
 	var all []*load.Report
 	for _, path := range c.Reports {
 		r, err := load.ReadReport(path)
@@ -247,8 +182,8 @@
 	if err != nil {
 		return err
 	}
-	r.Table(o.out)
-	return errors.Join(writeTo(c.JSON, r.Write), writeTo(c.HTML, r.WriteHTML))
+	r.Table(o.Out)
+	return errors.Join(cli.WriteTo(c.JSON, r.Write), cli.WriteTo(c.HTML, r.WriteHTML))
 }
 
 type compareCommand struct {
@@ -256,7 +191,7 @@
 	B []string `required:"" help:"Reports of repeated runs of the other."`
 }
 
-func (c *compareCommand) Run(o *output) error {
+func (c *compareCommand) Run(o *cli.Output) error {
 	read := func(paths []string) ([]*load.Report, error) {
 		var out []*load.Report
 		for _, p := range paths {
@@ -276,7 +211,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(o.out, "%-14s %12s %12s %12s %12s   B against A\n", "", "A", "noise", "B", "noise")
+	fmt.Fprintf(o.Out, "%-14s %12s %12s %12s %12s   B against A\n", "", "A", "noise", "B", "noise")
 	for _, row := range []struct {
 		name string
 		of   func(*load.Report) float64
@@ -299,7 +234,7 @@
 		case math.Abs(mb-ma) > na+nb:
 			verdict = fmt.Sprintf("%+.3f", mb-ma)
 		}
-		fmt.Fprintf(o.out, "%-14s %12.3f %12.3f %12.3f %12.3f   %s\n", row.name, ma, na, mb, nb, verdict)
+		fmt.Fprintf(o.Out, "%-14s %12.3f %12.3f %12.3f %12.3f   %s\n", row.name, ma, na, mb, nb, verdict)
 	}
 	for _, r := range append(a, b...) {
 		if !r.Valid {
