--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"slices"
 	"sort"
 	"strings"
@@ -684,3 +685,60 @@
 		}
 	})
 }
+
+// TestHundredThousandOpen: a plan of 100,000 requests that would all be open at
+// once, against a target that is silent. Memory stays bounded, and what was
+// given up is told.
+func TestHundredThousandOpen(t *testing.T) {
+	g := startTarget(t, nil)
+	g.pause()
+	defer g.goOn()
+	heap := func() int64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapAlloc)
+	}
+	before := heap()
+	r := run(t, plan(t, "most_open = 200\n[[phase]]\nrate = 100000\nfor = \"1s\"\narrivals = \"regular\"\n[[class]]\nname = \"x\"\ndeadline = \"20s\"\nleave_early = 1.0\nleave_after = \"2s\"\n"), g)
+	if r.Intended != 100000 || r.Sent+r.Unsent != r.Intended || r.Sent < 200 || r.Valid || r.Outcomes["left"] != r.Sent {
+		t.Errorf("%d intended, %d sent, %d unsent, %v", r.Intended, r.Sent, r.Unsent, r.Outcomes)
+	}
+	if grown := heap() - before; grown > 32<<20 {
+		t.Errorf("%d MB more are held", grown>>20)
+	}
+}
+
+// TestTraceThatTheTargetCantFollow: at ten times its rate each request waits
+// for those before it, and the report says how long.
+func TestTraceThatTheTargetCantFollow(t *testing.T) {
+	g := startTarget(t, func(c net.Conn, r *http.Request) bool {
+		time.Sleep(20 * time.Millisecond)
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	})
+	var text strings.Builder
+	for i := range 50 {
+		fmt.Fprintf(&text, "%.3f GET /x\n", float64(i)*0.05) // 20 a second; the target does 50
+	}
+	p := plan(t, "[connections]\nmost = 1\n[[phase]]\nrate = 0\nfor = \"1ms\"\n[[class]]\nname = \"x\"\ndeadline = \"30s\"\n")
+	var last [2]float64
+	for i, speed := range []float64{1, 10} {
+		tr, err := Import(strings.NewReader(text.String()), Own, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := tr.Play(speed, 1, 0, false); err != nil {
+			t.Fatal(err)
+		}
+		r, err := Run(context.Background(), p, tr, Options{Target: g.address})
+		if err != nil || r.Answered != 50 || !r.Valid && len(r.Pauses) == 0 {
+			t.Fatalf("%v, %+v", err, r)
+		}
+		last[i] = r.Latency.Max
+	}
+	// Sent within 0.25 s, done after 50 times 20 ms: the last waits for 0.75 s.
+	if last[1] < 600 || last[0] > last[1]/2 {
+		t.Errorf("the longest latency is %.0f ms at the recorded rate and %.0f at ten times", last[0], last[1])
+	}
+}
