One piece of code each for progress lines, a started program, a node's descriptors

Found by reading the whole change again: the tool and the load generator each printed progress by a copy, two tests started the program by a copy, a platform's node and a sidecar each had the numbers by which descriptors are split, and two searches of a list stood for slices.Contains. A write of nothing is gone.

--- a/cmd/indigotack/main_test.go
+++ b/cmd/indigotack/main_test.go
@@ -35,6 +35,27 @@
 	return cmd
 }
 
+// start starts a program, to be killed at the test's end, and gives what it says.
+func start(t *testing.T, cmd *exec.Cmd) <-chan string {
+	t.Helper()
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill() })
+	said := make(chan string, 1000)
+	go func() {
+		defer close(said)
+		for lines := bufio.NewScanner(stderr); lines.Scan(); {
+			said <- lines.Text()
+		}
+	}()
+	return said
+}
+
 func TestBadConfigIsOneLineAndNonZero(t *testing.T) {
 	out, err := program(t, `{"settings":{}}`).CombinedOutput()
 	if _, ok := err.(*exec.ExitError); !ok || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), "listen") {
@@ -60,21 +81,7 @@
 	config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","settings":{},
 		"known":{"index":1,"endpoints":[{"name":"s","address":%q,"status":"ready"}]}}`, free[0], free[1], free[1])
 	cmd := program(t, config)
-	stderr, err := cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer cmd.Process.Kill()
-	said := make(chan string, 1000)
-	go func() {
-		defer close(said)
-		for lines := bufio.NewScanner(stderr); lines.Scan(); {
-			said <- lines.Text()
-		}
-	}()
+	said := start(t, cmd)
 	ready := func() bool {
 		resp, err := http.Get("http://" + free[0] + "/health/ready")
 		if err != nil {
@@ -157,21 +164,7 @@
 	write("app.toml", app)
 	cmd := exec.Command(os.Args[0], "-app", filepath.Join(dir, "app.toml"))
 	cmd.Env = append(os.Environ(), "INDIGOTACK_AS_PROGRAM=1")
-	stderr, err := cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer cmd.Process.Kill()
-	said := make(chan string, 1000)
-	go func() {
-		defer close(said)
-		for lines := bufio.NewScanner(stderr); lines.Scan(); {
-			said <- lines.Text()
-		}
-	}()
+	said := start(t, cmd)
 	status := func(path string) int {
 		resp, err := http.Get("http://" + address + path)
 		if err != nil {
--- a/internal/appconfig/check.go
+++ b/internal/appconfig/check.go
@@ -68,11 +68,22 @@
 	clientPart       = 0.5
 )
 
+// SplitDescriptors is how many connections a node with so many descriptors
+// leaves to clients, and how many it may hold to servers.
+func SplitDescriptors(total int) (clients, servers int) {
+	clients = int(clientPart * float64(total-spareDescriptors))
+	return clients, total - spareDescriptors - clients
+}
+
 // ClientRoom is how many connections clients may hold.
-func (a *App) ClientRoom() int { return int(clientPart * float64(a.Descriptors-spareDescriptors)) }
+func (a *App) ClientRoom() int {
+	clients, _ := SplitDescriptors(a.Descriptors)
+	return clients
+}
 
 func (a *App) poolRoom() int {
-	return (a.Descriptors - spareDescriptors - a.ClientRoom()) / max(1, len(a.Pools))
+	_, servers := SplitDescriptors(a.Descriptors)
+	return servers / max(1, len(a.Pools))
 }
 
 // PoolRoom is how many connections to servers each pool may hold.
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -83,6 +84,39 @@
 	return err == nil && info.Mode()&os.ModeCharDevice != 0 && os.Getenv("TERM") != "dumb"
 }
 
+// Progress prints how something stands: over and over on one line of a
+// terminal, elsewhere as lines of their own, no closer together than Every.
+type Progress struct {
+	To    io.Writer
+	Every time.Duration
+
+	begun, live bool
+	last        time.Duration
+}
+
+// Line prints what holds at a time from the start on.
+func (p *Progress) Line(at time.Duration, format string, args ...any) {
+	first := !p.begun
+	if first {
+		p.begun, p.live = true, Terminal(p.To)
+	}
+	line := fmt.Sprintf(format, args...)
+	switch {
+	case p.live:
+		fmt.Fprintf(p.To, "\r\x1b[K%.118s", line)
+	case first || at-p.last >= p.Every:
+		p.last = at
+		fmt.Fprintln(p.To, line)
+	}
+}
+
+// End clears the line.
+func (p *Progress) End() {
+	if p.live {
+		fmt.Fprint(p.To, "\r\x1b[K")
+	}
+}
+
 // WriteTo writes a file, if there is a path.
 func WriteTo(path string, write func(io.Writer) error) error {
 	if path == "" {
--- a/internal/ctl/demo.go
+++ b/internal/ctl/demo.go
@@ -35,27 +35,17 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	fmt.Fprintf(o.Out, "15 web servers, their discovery, a sidecar and its clients, all on loopback: %v at %v requests a second, seed %d\n", c.Duration, c.Rate, c.Seed)
-	live := cli.Terminal(o.Out)
-	last := time.Duration(-1)
+	progress := &cli.Progress{To: o.Out, Every: 2 * time.Second}
 	options := demo.Options{Duration: c.Duration, Rate: c.Rate, Seed: c.Seed, Listen: c.Listen, Ready: func(address string) {
 		fmt.Fprintf(o.Out, "the sidecar serves at http://%s\n", address)
 	}, Progress: func(p demo.Progress) {
-		line := fmt.Sprintf("%4.1f of %v: %d asked, %d in aim, %d refused, %d failed, %d open; %s", p.At.Seconds(), p.Of, p.Asked, p.InAim, p.Refused, p.Failed, p.Open, orNothing(p.Doing))
-		switch {
-		case live:
-			fmt.Fprintf(o.Out, "\r\x1b[K%.118s", line)
-		case p.At-last >= 2*time.Second:
-			last = p.At
-			fmt.Fprintln(o.Out, line)
-		}
+		progress.Line(p.At, "%4.1f of %v: %d asked, %d in aim, %d refused, %d failed, %d open; %s", p.At.Seconds(), p.Of, p.Asked, p.InAim, p.Refused, p.Failed, p.Open, orNothing(p.Doing))
 	}}
 	if c.Log {
 		options.Log = o.Err
 	}
 	report, err := demo.Run(ctx, options)
-	if live {
-		fmt.Fprint(o.Out, "\r\x1b[K")
-	}
+	progress.End()
 	if report != nil {
 		report.Write(o.Out)
 	}
--- a/internal/ctl/simulate.go
+++ b/internal/ctl/simulate.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 
 	"indigotack/internal/cli"
 	"indigotack/internal/fleetsim"
@@ -26,11 +27,7 @@
 	if len(c.Policy) > 0 {
 		plan.Policies = nil
 		for _, name := range c.Policy {
-			known := false
-			for _, p := range fleetsim.Policies {
-				known = known || string(p) == name
-			}
-			if !known {
+			if !slices.Contains(fleetsim.Policies, fleetsim.Policy(name)) {
 				return cli.Usage("--policy %q, want module, random, round-robin or least-in-flight", name)
 			}
 			plan.Policies = append(plan.Policies, fleetsim.Policy(name))
--- a/internal/fleetsim/plan.go
+++ b/internal/fleetsim/plan.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"indigotack/decide"
@@ -154,11 +155,7 @@
 	}
 	policies := s.Strings("policies")
 	for _, name := range policies {
-		known := false
-		for _, one := range Policies {
-			known = known || string(one) == name
-		}
-		if !known {
+		if !slices.Contains(Policies, Policy(name)) {
 			s.Bad("policies", "some of module, random, round-robin, least-in-flight, not %q", name)
 		}
 		p.Policies = append(p.Policies, Policy(name))
--- a/internal/fleetsim/report.go
+++ b/internal/fleetsim/report.go
@@ -156,7 +156,6 @@
 			at := x((float64(i) + 0.5) / windows)
 			fmt.Fprintf(&down, "%.1f,%.1f ", at, chartHeight*(1-below[i]))
 			below[i] += float64(k.of(w)) / total
-			up.WriteString("")
 		}
 		for i := windows - 1; i >= 0; i-- {
 			fmt.Fprintf(&up, "%.1f,%.1f ", x((float64(i)+0.5)/windows), chartHeight*(1-below[i]))
--- a/internal/loadctl/loadctl.go
+++ b/internal/loadctl/loadctl.go
@@ -93,20 +93,11 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	live, last := cli.Terminal(o.Out), time.Duration(-1)
+	progress := &cli.Progress{To: o.Out, Every: 5 * time.Second}
 	report, err := load.Run(ctx, plan, trace, load.Options{Target: target, Progress: func(p load.Progress) {
-		line := fmt.Sprintf("%5.1f of %v: %d sent, %d answered, %d errors, %d open, %.0f a second, p99 %.1f ms", p.At.Seconds(), p.Of, p.Sent, p.Answered, p.Errors, p.Open, p.Rate, float64(p.P99)/1e6)
-		switch {
-		case live:
-			fmt.Fprintf(o.Out, "\r\x1b[K%.118s", line)
-		case p.At-last >= 5*time.Second:
-			last = p.At
-			fmt.Fprintln(o.Out, line)
-		}
+		progress.Line(p.At, "%5.1f of %v: %d sent, %d answered, %d errors, %d open, %.0f a second, p99 %.1f ms", p.At.Seconds(), p.Of, p.Sent, p.Answered, p.Errors, p.Open, p.Rate, float64(p.P99)/1e6)
 	}})
-	if live {
-		fmt.Fprint(o.Out, "\r\x1b[K")
-	}
+	progress.End()
 	if err != nil {
 		return err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,11 +10,7 @@
 	"reflect"
 
 	"indigotack/decide"
-)
-
-const (
-	spareSockets = 48  // descriptors for discovery, listener and runtime
-	clientPart   = 0.5 // of the other descriptors
+	"indigotack/internal/appconfig"
 )
 
 // Node is one load-balancing proxy node on a platform: one pool of servers,
@@ -28,8 +24,8 @@
 
 // New makes a node; Run starts it.
 func New(cfg Config, log *slog.Logger) *Node {
-	clients := int(clientPart * float64(cfg.Sockets-spareSockets))
-	n := &Node{cfg: cfg, owner: newOwner(cfg.Settings, cfg.Seed, cfg.Sockets-spareSockets-clients, log)}
+	clients, servers := appconfig.SplitDescriptors(cfg.Sockets)
+	n := &Node{cfg: cfg, owner: newOwner(cfg.Settings, cfg.Seed, servers, log)}
 	n.front = platformFront(n, clients)
 	n.owner.listChanged = func(servers int) { n.front.ready.Store(servers > 0) }
 	n.owner.ask = func(fetch, watch bool) { n.discovery.ask(n.ctx, fetch, watch) }
