Nodes share a server with four others instead of twenty-nine, and least latencies are found without bias

Cause, read off the new table of refusals: of a server that thirty nodes share, a node's own count tells nothing; the least latency of a kind was found among the first answers, which are the quick ones, and from too few, so that H held some nodes at a third of the cores idle. Changed: 5 nodes a server (30 stay where servers are asked by probes); the least latency is taken after ten latencies and with the noise of its count; the queue allowed is 1.0 instead of 1.3 over that truer least; lines may take 0.4 of an aim.

--- a/decide/api.go
+++ b/decide/api.go
@@ -283,6 +283,39 @@
 // Action is something the caller is to do. The types below are all there are.
 type Action interface{ action() }
 
+// Cause tells why the module gave up on a request.
+type Cause int
+
+// Causes.
+const (
+	// NoCause is that of none.
+	NoCause Cause = iota
+	// Shed: dropped by q2 or q1, as no server was normal.
+	Shed
+	// LineTooLong: its turn among those that wait would come too late.
+	LineTooLong
+	// Waited: it has waited for a server for as long as it may.
+	Waited
+	// NoServer: none may get it.
+	NoServer
+	// Late: no answer could come in time to be worth anything.
+	Late
+	// NoRetry: an attempt has failed, and no other may be made.
+	NoRetry
+	// Expired: its deadline came first.
+	Expired
+	// Causes is how many there are.
+	Causes
+)
+
+// String names a cause, for tables and labels.
+func (c Cause) String() string {
+	if c < 0 || c >= Causes {
+		return "unknown"
+	}
+	return [Causes]string{"none", "shed", "line-too-long", "waited", "no-server", "late", "no-retry", "expired"}[c]
+}
+
 // Actions.
 type (
 	// Send starts an attempt; a request's attempts count 0, 1, 2 in this order.
@@ -295,9 +328,13 @@
 	Refuse struct {
 		ID      RequestID
 		HoldOff time.Duration // how long the client should wait; 0: no advice
+		Cause   Cause
 	}
 	// Fail is a final answer that promises nothing.
-	Fail struct{ ID RequestID }
+	Fail struct {
+		ID    RequestID
+		Cause Cause
+	}
 	// CancelAttempt stops waiting for an attempt.
 	CancelAttempt struct {
 		ID      RequestID
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -15,19 +15,20 @@
 	validity    = time.Second            // s; oc-validity of the paper: an imposed mode lapses after it
 	recompute   = 500 * time.Millisecond // s; period of q: many arrivals, yet far shorter than a trouble
 	aimPart     = 0.4                    // part of an aim that the class's mean delay may take: tails are long
-	queueFactor = 1.3                    // of the uncrowded latency: long queues harm where crowds slow servers,
+	queueFactor = 1.0                    // of the uncrowded latency: long queues harm where crowds slow servers,
 	queueShare  = 1.5                    // and this over the nodes at a server: own counts tell less among many
 	baseNoise   = 0.15                   // by how much chance alone takes a class's mean under its true value
 	baseAgain   = 4.0                    // times the requests at which it was uncrowded, where that is doubted
 	lowPart     = 0.75                   // L as a part of H: the hysteresis; of small counts half is one or none
 	highPart    = 3.0                    // R as a multiple of H: room for priority work, which comes in lumps
 	worthCut    = 0.1                    // part of the top worth up to which no request counts as priority
-	reachLeast  = 4.0                    // servers that a node works with, at least: some may fail together
+	reachLeast  = 5.0                    // servers that a node works with, at least: some may fail together
 	drawTries   = 16                     // draws from a file of servers before all are looked at
 	barren      = 25 * time.Millisecond  // s; after a look at all that found nobody, draws must do
 	manyPart    = 32                     // changes by more than such a part of the list are a whole list
 	nearPart    = 0.8                    // of a subset: of this zone; the others are for when it is short
-	reachNodes  = 30.0                   // nodes that work with a server, on average: it takes few connections
+	reachNodes  = 5.0                    // nodes that work with a server, on average: own counts must tell of it
+	lookNodes   = 30.0                   // the same where servers are asked instead: it takes few connections
 	poolUnder   = 0.33                   // mean H of the servers in reach under which they are judged together
 	poolSamples = 10.0                   // answers in the time over which their count is smoothed
 	chance      = 3.0                    // times the root of H, by which a count may be above H for a moment
@@ -36,7 +37,8 @@
 	coldStart   = 4.0                    // 1/s, of all nodes to a cold server with no warm one to compare
 	coldGrowth  = 0.5                    // of the overload factor, times what a cold server can do
 	kindGain    = 0.006                  // the same over a kind: its least is kept, so chance must be small
-	kindCount   = 50.0                   // answers of a kind of machine after which its latency counts
+	kindCount   = 50.0                   // answers of a kind of machine after which its latency counts,
+	settled     = 10.0                   // and times its latency: the first to come are the quick ones
 	anchor      = 0.3                    // part of H drawn from the fleet: own noise must not starve a server
 	rateTau     = 3.0                    // s; what a node has seen of a server holds about as long
 	memoryTau   = 600.0                  // s; to forget peak rates and uncrowded latency: longer than troubles
@@ -60,7 +62,7 @@
 	probeWait   = 5 * time.Millisecond   // s; for answers to probes: some round trips, far under any aim
 	probeRounds = 3                      // looks at two more servers before all count as full
 	waitPart    = 0.8                    // part of the tightest aim that queueing and service may take
-	holdMost    = 0.3                    // part of its aim that a request may wait here for a server
+	holdMost    = 0.4                    // part of its aim that a request may wait here for a server
 	shedKeep    = 0.7                    // of q stays each period if nothing else finds no room
 	holdCount   = 4096                   // requests that may wait ahead of one
 	quickPart   = 0.1                    // part of an aim under which no delay is a server's silence
@@ -186,7 +188,7 @@
 	}
 	m.peak = math.Max(m.peak/(1+tickEvery.Seconds()/memoryTau), m.fleetRate)
 	for _, k := range m.kinds {
-		if k.answers < kindCount {
+		if k.answers < kindCount || (m.now-k.since).Seconds() < settled*k.mean {
 			continue
 		}
 		tau := memoryTau
@@ -195,21 +197,22 @@
 			tau = rateTau // so few more do not make such a queue: these servers are slow for good
 		}
 		var found bool
-		if k.base, found = uncrowded(k.base, k.mean, tau); found {
+		if k.base, found = uncrowded(k.base, k.mean, tau, k.answers*kindGain/2); found {
 			k.baseHeld = k.held
 		}
 	}
-	m.base, _ = uncrowded(m.base, m.mean, memoryTau)
+	m.base, _ = uncrowded(m.base, m.mean, memoryTau, 1)
 }
 
 // uncrowded renews the least latency seen: it rises by itself, or within tau to a mean that stays far above.
-// found tells that the mean is the least now.
-func uncrowded(base, mean, tau float64) (renewed float64, found bool) {
+// found tells that the mean is the least now. That of a part of the usual count is further off by chance.
+func uncrowded(base, mean, tau, part float64) (renewed float64, found bool) {
+	noise := math.Min(0.5, baseNoise/math.Sqrt(math.Min(1, part)))
 	if base > 0 {
 		base += tickEvery.Seconds() / tau * math.Max(base*tau/memoryTau, mean-base)
 	}
-	if base == 0 || mean < base*(1-baseNoise) {
-		return mean / (1 - baseNoise), true
+	if base == 0 || mean < base*(1-noise) {
+		return mean / (1 - noise), true
 	}
 	return base, false
 }
@@ -350,6 +353,9 @@
 	c.ambient += gainC * (m.mean - c.ambient)
 	c.relative = c.latency / c.ambient // not to m.mean: a rare class must not keep a past trouble's latency
 	k := a.server.kind
+	if k.answers == 0 {
+		k.since = a.sent
+	}
 	k.held, k.heldAt = k.held+bornGain*(a.ahead+1-k.held), m.now
 	k.took += bornGain * (t/c.relative - k.took)
 	k.answers++
@@ -531,12 +537,12 @@
 }
 
 // finish gives the final answer where no server did, a refusal if it may, with a jittered hold-off.
-func (m *Module) finish(r *request) {
+func (m *Module) finish(r *request, why Cause) {
 	wait := min(m.jitter(time.Duration(holdPart*float64(r.class.Aim))), m.set.MaxHoldOff)
 	if m.mayRefuse(r) {
-		m.do(Refuse{ID: r.id, HoldOff: wait})
+		m.do(Refuse{ID: r.id, HoldOff: wait, Cause: why})
 	} else {
-		m.do(Fail{ID: r.id})
+		m.do(Fail{ID: r.id, Cause: why})
 	}
 	m.close(r)
 }
@@ -640,12 +646,18 @@
 	if mode != Normal {
 		g.crowdedAt = m.now
 	}
+	why := NoServer
+	if mode == Overloaded {
+		why = LineTooLong
+	}
 	switch {
-	case n > 0 && (m.worthless(r, 0) || costly && m.budget < 1 || mode != Normal && (!r.priority)),
-		n == 0 && m.now < g.crowdedAt+recompute && m.worthless(r, m.mean*r.class.relative),
-		n == 0 && mode == Overloaded && (r.priority && m.random() < g.q1 || !r.priority && m.random() < g.q2):
-		s = nil
-		if n == 0 && !g.others { // with nobody to protect, q falls while the line is short enough for all
+	case n > 0 && (m.worthless(r, 0) || costly && m.budget < 1 || mode != Normal && (!r.priority)):
+		s, why = nil, NoRetry
+	case n == 0 && m.now < g.crowdedAt+recompute && m.worthless(r, m.mean*r.class.relative):
+		s, why = nil, Late
+	case n == 0 && mode == Overloaded && (r.priority && m.random() < g.q1 || !r.priority && m.random() < g.q2):
+		s, why = nil, Shed
+		if !g.others { // with nobody to protect, q falls while the line is short enough for all
 			g.turned -= 1 - shedKeep
 		}
 	case n == 0 && mode == Blocking && m.tryOut(r, true):
@@ -656,7 +668,7 @@
 	if sent := m.send(r, s, m.limit(r, s)); sent && costly {
 		m.budget--
 	} else if !sent && r.out == 0 {
-		m.turnAway(r)
+		m.turnAway(r, why)
 	}
 }
 
@@ -721,7 +733,7 @@
 		for line := range g.lines {
 			g.lines[line] = slices.DeleteFunc(g.lines[line], func(r *request) bool {
 				if r.held && m.now >= r.until {
-					m.turnAway(r)
+					m.turnAway(r, Waited)
 				} else if r.held {
 					g.soonest = min(g.soonest, r.until)
 				}
@@ -738,7 +750,7 @@
 					return
 				}
 				if r.release(); !m.send(r, s, m.limit(r, s)) && !m.tryOut(r, true) {
-					m.turnAway(r)
+					m.turnAway(r, NoServer)
 				}
 			}
 			g.lines[line][0] = nil
@@ -748,11 +760,11 @@
 }
 
 // turnAway ends a request for which there is no room, which counts for q.
-func (m *Module) turnAway(r *request) {
+func (m *Module) turnAway(r *request, why Cause) {
 	if len(r.attempts) == 0 {
 		r.class.group.turned++
 	}
-	m.finish(r)
+	m.finish(r, why)
 }
 
 // limit is how long an attempt may take. One that may be made again is given up when hardly any answer takes
@@ -980,7 +992,7 @@
 	case e.Over:
 		m.close(r)
 	case e.Code == Unusable && !r.done: // by any other server as well
-		m.do(Fail{ID: r.id})
+		m.do(Fail{ID: r.id, Cause: NoRetry})
 		m.close(r)
 	case r.out == 0:
 		m.place(r)
@@ -1064,7 +1076,7 @@
 	for _, r := range m.open {
 		m.overdue(r)
 		if !r.done && !r.started && m.now >= r.deadline {
-			m.finish(r) // guards against an outcome that never comes
+			m.finish(r, Expired) // guards against an outcome that never comes
 		}
 		if !r.done {
 			open = append(open, r)
@@ -1184,7 +1196,11 @@
 		}
 		g.ownFrom = int(float64(len(g.own)) * math.Mod(float64(m.set.Self)*math.Phi, 1))
 		size := float64(len(g.ring))
-		g.reach = math.Min(size, math.Ceil(math.Max(reachLeast, reachNodes*size/float64(m.set.Nodes))))
+		sharing := reachNodes
+		if m.looks {
+			sharing = lookNodes
+		}
+		g.reach = math.Min(size, math.Ceil(math.Max(reachLeast, sharing*size/float64(m.set.Nodes))))
 		if on := int(g.reach) > m.scanUpTo; on != g.on {
 			m.empty(g)
 			g.on = on
--- a/decide/state.go
+++ b/decide/state.go
@@ -80,7 +80,7 @@
 	answers, mean, base float64 // s, smoothed latency of a mean request; uncrowded
 	baseHeld            float64 // own requests at a server when base was found
 	held, took          float64 // own requests at a server and their latency, s, of late
-	heldAt              Time
+	heldAt, since       Time    // since: the first request that was answered was sent
 }
 
 type attempt struct {
@@ -320,3 +320,49 @@
 	}
 	return v
 }
+
+// Belief is what the module holds of the servers open to a class, for those who ask why it refused.
+type Belief struct {
+	Reach, Normal, Overloaded, Blocking int // servers in reach, and by mode
+	Pooled                              bool
+	Held, High, Room                    float64 // own requests at them; the sums of H, and of what a line goes up to
+	Q1, Q2                              float64
+	Waiting                             int
+	Mean, Base                          float64 // s: smoothed latency; uncrowded
+}
+
+// Belief gives what is held of the servers open to a class of the settings.
+func (m *Module) Belief(class string) Belief {
+	c := m.classes[class]
+	if c == nil {
+		return Belief{}
+	}
+	g := c.group
+	b := Belief{Reach: len(g.near), Pooled: g.pooled, Held: g.held, Q1: g.q1, Q2: g.q2, Waiting: g.inLine(), Mean: m.mean, Base: m.base}
+	for _, s := range g.near {
+		b.High += s.high
+		mode := s.mode
+		if g.pooled {
+			mode = g.mode
+		}
+		switch mode {
+		case Normal:
+			b.Normal++
+		case Overloaded:
+			b.Overloaded++
+		default:
+			b.Blocking++
+		}
+	}
+	b.Room = m.linePart() * b.High
+	return b
+}
+
+// Reach visits the servers that this node may send a class's requests to.
+func (m *Module) Reach(class string, visit func(ServerID)) {
+	if c := m.classes[class]; c != nil {
+		for _, s := range c.group.near {
+			visit(s.ID)
+		}
+	}
+}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -17,6 +17,7 @@
 	"indigotack/internal/appconfig"
 	"indigotack/internal/cli"
 	"indigotack/internal/conf"
+	"indigotack/internal/fleetsim"
 	"indigotack/internal/route"
 )
 
@@ -30,6 +31,7 @@
 	Diff     diffCommand     `cmd:"" help:"Tell how requests fare under a new file, and what needs a restart."`
 	Explain  explainCommand  `cmd:"" help:"Tell which route, class, pool and deadline a request gets, and why."`
 	Simulate simulateCommand `cmd:"" help:"Play a fleet on a virtual clock: what if ten servers went, or the load doubled?"`
+	Grid     gridCommand     `cmd:"" help:"Play a plan at many sizes and loads, and place the module between random choice and the bound."`
 	Demo     demoCommand     `cmd:"" help:"Show a sidecar at work with stand-in servers and clients, all on loopback."`
 	Race     raceCommand     `cmd:"" help:"Race a sidecar against the standard library's proxy, with closed-loop clients, all on loopback."`
 }
@@ -37,7 +39,7 @@
 // Main carries out one call and returns its exit status.
 func Main(args []string, stdout, stderr io.Writer) int {
 	var c commands
-	return cli.Run(&c, args, stdout, stderr, "indigoctl", kong.UsageOnError(), kong.Vars{"kinds": strings.Join(appconfig.Kinds, ",")},
+	return cli.Run(&c, args, stdout, stderr, "indigoctl", kong.UsageOnError(), kong.Vars{"kinds": strings.Join(appconfig.Kinds, ","), "policies": fleetsim.PolicyNames()},
 		kong.Description("Writes, checks, compares and explains the files of indigotack sidecars.\nExit status: 0 sound, 1 mistakes, 2 usage."))
 }
 
--- a/internal/ctl/simulate.go
+++ b/internal/ctl/simulate.go
@@ -3,17 +3,17 @@
 import (
 	"fmt"
 	"io"
-	"slices"
 
 	"indigotack/internal/cli"
 	"indigotack/internal/fleetsim"
 )
 
 type simulateCommand struct {
-	Plan   string   `arg:"" help:"The plan to play."`
-	Policy []string `help:"Play these policies alone: module, random, round-robin, least-in-flight."`
-	HTML   string   `name:"html" help:"Write a picture to this file."`
-	Seed   uint64   `help:"Another seed than the plan's."`
+	Plan     string   `arg:"" help:"The plan to play."`
+	Policy   []string `help:"Play these policies alone: ${policies}."`
+	HTML     string   `name:"html" help:"Write a picture to this file."`
+	Refusals bool     `help:"Also tell why the module refused: what it believed, and what was true."`
+	Seed     uint64   `help:"Another seed than the plan's."`
 }
 
 func (c *simulateCommand) Run(o *cli.Output) error {
@@ -25,12 +25,8 @@
 		plan.Seed = c.Seed
 	}
 	if len(c.Policy) > 0 {
-		plan.Policies = nil
-		for _, name := range c.Policy {
-			if !slices.Contains(fleetsim.Policies, fleetsim.Policy(name)) {
-				return cli.Usage("--policy %q, want module, random, round-robin or least-in-flight", name)
-			}
-			plan.Policies = append(plan.Policies, fleetsim.Policy(name))
+		if plan.Policies, err = policies(c.Policy); err != nil {
+			return err
 		}
 	}
 	var results []*fleetsim.Result
@@ -38,6 +34,11 @@
 		results = append(results, fleetsim.Run(plan, p))
 	}
 	fleetsim.WriteTable(o.Out, plan, results)
+	for _, r := range results {
+		if c.Refusals && r.Policy == fleetsim.Module {
+			fleetsim.WriteRefusals(o.Out, plan, r)
+		}
+	}
 	if err := cli.WriteTo(c.HTML, func(w io.Writer) error { return fleetsim.WriteHTML(w, plan, results) }); err != nil {
 		return err
 	}
