A node that is asked for more works with more servers; least latencies wait for the longest answers

And a node that got its full load at its first moment took the first, quick answers for the least latency and held H at half of what it should be, for minutes. Ruled out: sending what finds no room beyond reach by how those answer (the ratio is too noisy to tell a full fleet from one with room); three seconds before a least latency counts (crowds of the first second are then taken for the least). Changed: reach follows what is asked of the node, by Little's law; a kind's least latency counts when it has been watched four times as long as its longest answer took.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -28,6 +28,8 @@
 	manyPart    = 32                     // changes by more than such a part of the list are a whole list
 	nearPart    = 0.8                    // of a subset: of this zone; the others are for when it is short
 	reachNodes  = 5.0                    // nodes that work with a server, on average: own counts must tell of it
+	wideAt      = 1.25                   // own requests asked of a server, beyond which it works with more
+	askedTau    = 1.0                    // s; over which they are smoothed
 	lookNodes   = 30.0                   // the same where servers are asked instead: it takes few connections
 	poolUnder   = 0.33                   // mean H of the servers in reach under which they are judged together
 	poolSamples = 10.0                   // answers in the time over which their count is smoothed
@@ -38,7 +40,7 @@
 	coldGrowth  = 0.5                    // of the overload factor, times what a cold server can do
 	kindGain    = 0.006                  // the same over a kind: its least is kept, so chance must be small
 	kindCount   = 50.0                   // answers of a kind of machine after which its latency counts,
-	settled     = 10.0                   // and times its latency: the first to come are the quick ones
+	settled     = 4.0                    // and times its longest: the first answers to come are the quick ones
 	anchor      = 0.3                    // part of H drawn from the fleet: own noise must not starve a server
 	rateTau     = 3.0                    // s; what a node has seen of a server holds about as long
 	memoryTau   = 600.0                  // s; to forget peak rates and uncrowded latency: longer than troubles
@@ -188,7 +190,7 @@
 	}
 	m.peak = math.Max(m.peak/(1+tickEvery.Seconds()/memoryTau), m.fleetRate)
 	for _, k := range m.kinds {
-		if k.answers < kindCount || (m.now-k.since).Seconds() < settled*k.mean {
+		if k.answers < kindCount || (m.now-k.since).Seconds() < settled*k.longest {
 			continue
 		}
 		tau := memoryTau
@@ -358,6 +360,9 @@
 	}
 	k.held, k.heldAt = k.held+bornGain*(a.ahead+1-k.held), m.now
 	k.took += bornGain * (t/c.relative - k.took)
+	if k.base == 0 {
+		k.longest = math.Max(k.longest, t/c.relative)
+	}
 	k.answers++
 	k.mean += max(kindGain, 1/k.answers) * (t/c.relative - k.mean)
 	m.weigh(a.server, c, took)
@@ -1090,8 +1095,10 @@
 				g.turned += g.n1 * g.filled / math.Max(1, g.ticks)
 			}
 			g.q1, g.q2 = ShedSplit(math.Min(1, g.turned/math.Max(1, g.n1+g.n2)), g.n1, g.n2)
+			g.asked += ((g.n1+g.n2)*m.mean/recompute.Seconds() - g.asked) * (1 - decay(recompute, askedTau))
 			g.others, g.n1, g.n2, g.turned, g.filled, g.ticks = g.n2 > 0, 0, 0, 0, 0, 0
 		}
+		m.reaches()
 	}
 	if m.set.AskForList && !m.subscribed && m.now >= m.askAt {
 		m.asking, m.askAt = true, m.now+m.set.AskWithin/4
@@ -1200,7 +1207,8 @@
 		if m.looks {
 			sharing = lookNodes
 		}
-		g.reach = math.Min(size, math.Ceil(math.Max(reachLeast, sharing*size/float64(m.set.Nodes))))
+		least := math.Max(reachLeast, sharing*size/float64(m.set.Nodes))
+		g.stale, g.reach = true, math.Min(size, math.Ceil(math.Max(least, g.asked/wideAt)))
 		if on := int(g.reach) > m.scanUpTo; on != g.on {
 			m.empty(g)
 			g.on = on
--- a/decide/state.go
+++ b/decide/state.go
@@ -62,6 +62,7 @@
 	others              bool          // some arrivals of the last period had no priority
 	lines               [2][]*request // that wait for a server, priority ones and others; some may be done
 	waiting             [2]int        // how many are not
+	asked               float64       // requests that would be in hand if none were refused, smoothed
 	lineAt, soonest     Time          // when the first came to empty lines; when one has waited for long enough, at the earliest
 	filled, ticks       float64       // sum of how far the servers were above H, over this period's ticks
 }
@@ -80,6 +81,7 @@
 	answers, mean, base float64 // s, smoothed latency of a mean request; uncrowded
 	baseHeld            float64 // own requests at a server when base was found
 	held, took          float64 // own requests at a server and their latency, s, of late
+	longest             float64 // s, until base is found
 	heldAt, since       Time    // since: the first request that was answered was sent
 }
 
--- a/internal/fleetsim/grid_test.go
+++ b/internal/fleetsim/grid_test.go
@@ -78,6 +78,17 @@
 	}
 }
 
+// TestHotNode: one of 20 nodes gets ten times the requests of each other. It works with more servers than they do
+// instead of refusing what its usual ones have no room for.
+func TestHotNode(t *testing.T) {
+	p := plan(t, portal+"nodes = 20\nservers = 150\nrate = 2500\nhot_nodes = 1\nhot_factor = 10\n")
+	r := Run(p, Module)
+	sound(t, r)
+	if r.Served < 0.94 {
+		t.Errorf("serves %.3f", r.Served)
+	}
+}
+
 // TestRefusalsTellCauses: every refusal has a cause, and each cause is written with what was believed and true.
 func TestRefusalsTellCauses(t *testing.T) {
 	p := plan(t, portal+"rate = 600\n")
--- a/internal/fleetsim/plan.go
+++ b/internal/fleetsim/plan.go
@@ -23,6 +23,8 @@
 	Seed      uint64
 	Duration  time.Duration
 	Nodes     int
+	HotNodes  int // of them, which get HotFactor times the requests of each other
+	HotFactor float64
 	ToldNodes int // what the nodes are told of their number; 0: the truth
 	Servers   int
 	Zones     []string
@@ -164,7 +166,7 @@
 		s.Bad("version", "version = 1")
 	}
 	p := &Plan{Name: s.String("name", "fleet"), Seed: uint64(s.Int("seed", 1, 0, 1<<62)), Duration: s.Duration("duration", 30*time.Second, time.Second, time.Hour),
-		Nodes: s.Int("nodes", 5, 1, maxNodes), ToldNodes: s.Int("told_nodes", 0, 0, maxNodes), Servers: s.Int("servers", 15, 1, maxServers), Zones: s.Strings("zones"),
+		Nodes: s.Int("nodes", 5, 1, maxNodes), ToldNodes: s.Int("told_nodes", 0, 0, maxNodes), HotNodes: s.Int("hot_nodes", 0, 0, maxNodes), HotFactor: s.Float("hot_factor", 1, 0.001, 1000), Servers: s.Int("servers", 15, 1, maxServers), Zones: s.Strings("zones"),
 		Rate: s.Float("rate", 100, 0.1, 1e6), SameZone: s.Duration("same_zone", 250*time.Microsecond, 0, time.Second),
 		CrossZone: s.Duration("cross_zone", 8*time.Millisecond, 0, time.Second), ListDelay: s.Duration("list_delay", time.Second, 0, time.Minute),
 		ColdFrom: s.Float("cold_from", 0.3, 0.01, 1), ColdTime: s.Duration("cold_time", 8*time.Second, 0, time.Hour),
--- a/internal/fleetsim/sim.go
+++ b/internal/fleetsim/sim.go
@@ -516,6 +516,15 @@
 	}
 }
 
+// someNode is the node that the next request comes to.
+func (s *sim) someNode() int {
+	hot := min(s.p.HotNodes, len(s.nodes))
+	if part := float64(hot) * s.p.HotFactor; hot > 0 && s.rng.Float64()*(part+float64(len(s.nodes)-hot)) < part {
+		return s.rng.IntN(hot)
+	}
+	return hot + s.rng.IntN(max(1, len(s.nodes)-hot))
+}
+
 func (s *sim) arrive() {
 	u, class := s.rng.Float64()*s.shares, 0
 	for i, c := range s.p.Classes {
@@ -526,7 +535,7 @@
 	}
 	k := &s.p.Classes[class]
 	s.counted++
-	r := &request{id: decide.RequestID(strconv.Itoa(s.counted)), class: class, node: s.rng.IntN(len(s.nodes)), arrived: s.now,
+	r := &request{id: decide.RequestID(strconv.Itoa(s.counted)), class: class, node: s.someNode(), arrived: s.now,
 		work: time.Duration(s.rng.ExpFloat64() * float64(k.Work))}
 	s.open[r.id] = r
 	s.res.Classes[class].Asked++
