--- a/decide/decide.go
+++ b/decide/decide.go
@@ -40,6 +40,7 @@
 	coldGrowth  = 0.5                    // of the overload factor, times what a cold server can do
 	kindGain    = 0.006                  // the same over a kind: its least is kept, so chance must be small
 	kindCount   = 50.0                   // answers of a kind of machine after which its latency counts,
+	settledMost = 30.0                   // times its latency at most,
 	settled     = 4.0                    // and times its longest: the first answers to come are the quick ones
 	anchor      = 0.3                    // part of H drawn from the fleet: own noise must not starve a server
 	rateTau     = 3.0                    // s; what a node has seen of a server holds about as long
@@ -190,7 +191,7 @@
 	}
 	m.peak = math.Max(m.peak/(1+tickEvery.Seconds()/memoryTau), m.fleetRate)
 	for _, k := range m.kinds {
-		if k.answers < kindCount || (m.now-k.since).Seconds() < settled*k.longest {
+		if k.answers < kindCount || (m.now-k.since).Seconds() < math.Min(settled*k.longest, settledMost*k.mean) {
 			continue
 		}
 		tau := memoryTau
