--- a/decide/decide.go
+++ b/decide/decide.go
@@ -15,7 +15,7 @@
 	validity    = time.Second            // s; oc-validity of the paper: an imposed mode lapses after it
 	recompute   = 500 * time.Millisecond // s; period of q: many arrivals, yet far shorter than a trouble
 	aimPart     = 0.4                    // part of an aim that the class's mean delay may take: tails are long
-	queueFactor = 1.0                    // of the uncrowded latency: long queues harm where crowds slow servers,
+	queueFactor = 0.9                    // of the uncrowded latency: long queues harm where crowds slow servers,
 	queueShare  = 1.5                    // and this over the nodes at a server: own counts tell less among many
 	baseNoise   = 0.15                   // by how much chance alone takes a class's mean under its true value
 	baseAgain   = 4.0                    // times the requests at which it was uncrowded, where that is doubted
