Reach is renewed only where it changed; one count of modes; central sorts worths exactly

Every half second each index of a large fleet was refilled though its reach had not changed. Belief counted modes as View does and carried two values that nobody read. The bound ordered worths that differ by less than a half as they came; it asks the simulation for the way to a server now.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1209,7 +1209,8 @@
 			sharing = lookNodes
 		}
 		least := math.Max(reachLeast, sharing*size/float64(m.set.Nodes))
-		g.stale, g.reach = true, math.Min(size, math.Ceil(math.Max(least, g.asked/wideAt)))
+		reach := math.Min(size, math.Ceil(math.Max(least, g.asked/wideAt)))
+		g.stale, g.reach = g.stale || reach != g.reach, reach
 		if on := int(g.reach) > m.scanUpTo; on != g.on {
 			m.empty(g)
 			g.on = on
--- a/decide/state.go
+++ b/decide/state.go
@@ -284,25 +284,26 @@
 // View counts servers by how a node sees them, for pictures and operators.
 type View struct{ Normal, Overloaded, Blocking, Suspect, Cold int }
 
+func (v *View) count(mode Mode, n int) {
+	switch mode {
+	case Normal:
+		v.Normal += n
+	case Overloaded:
+		v.Overloaded += n
+	case Blocking:
+		v.Blocking += n
+	}
+}
+
 // View counts the servers in reach, and all suspects.
 func (m *Module) View() (v View) {
-	count := func(mode Mode, n int) {
-		switch mode {
-		case Normal:
-			v.Normal += n
-		case Overloaded:
-			v.Overloaded += n
-		case Blocking:
-			v.Blocking += n
-		}
-	}
 	for _, g := range m.groups {
 		for i := range g.file {
 			mode := Mode(i / 2)
 			if g.pooled {
 				mode = g.mode
 			}
-			if count(mode, len(g.file[i])); i%2 == 1 {
+			if v.count(mode, len(g.file[i])); i%2 == 1 {
 				v.Cold += len(g.file[i])
 			}
 		}
@@ -310,7 +311,7 @@
 			continue
 		}
 		for _, s := range g.near {
-			if count(max(s.mode, Normal), 1); s.cold {
+			if v.count(max(s.mode, Normal), 1); s.cold {
 				v.Cold++
 			}
 		}
@@ -325,12 +326,13 @@
 
 // Belief is what the module holds of the servers open to a class, for those who ask why it refused.
 type Belief struct {
-	Reach, Normal, Overloaded, Blocking int // servers in reach, and by mode
-	Pooled                              bool
-	Held, High, Room                    float64 // own requests at them; the sums of H, and of what a line goes up to
-	Q1, Q2                              float64
-	Waiting                             int
-	Mean, Base                          float64 // s: smoothed latency; uncrowded
+	View               // of those in reach
+	Reach      int     // how many they are
+	Pooled     bool    // judged together
+	Held, High float64 // own requests at them; the sum of H
+	Q1, Q2     float64
+	Waiting    int
+	Mean       float64 // s: smoothed latency
 }
 
 // Belief gives what is held of the servers open to a class of the settings.
@@ -340,23 +342,15 @@
 		return Belief{}
 	}
 	g := c.group
-	b := Belief{Reach: len(g.near), Pooled: g.pooled, Held: g.held, Q1: g.q1, Q2: g.q2, Waiting: g.inLine(), Mean: m.mean, Base: m.base}
+	b := Belief{Reach: len(g.near), Pooled: g.pooled, Held: g.held, Q1: g.q1, Q2: g.q2, Waiting: g.inLine(), Mean: m.mean}
 	for _, s := range g.near {
 		b.High += s.high
 		mode := s.mode
 		if g.pooled {
 			mode = g.mode
 		}
-		switch mode {
-		case Normal:
-			b.Normal++
-		case Overloaded:
-			b.Overloaded++
-		default:
-			b.Blocking++
-		}
+		b.count(mode, 1)
 	}
-	b.Room = m.linePart() * b.High
 	return b
 }
 
--- a/internal/fleetsim/central.go
+++ b/internal/fleetsim/central.go
@@ -1,6 +1,7 @@
 package fleetsim
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -25,7 +26,7 @@
 	for _, k := range s.p.Classes {
 		worths = append(worths, k.Worth)
 	}
-	slices.SortFunc(worths, func(a, b float64) int { return int(max(-1, min(1, b-a)*2)) })
+	slices.SortFunc(worths, func(a, b float64) int { return cmp.Compare(b, a) })
 	worths = slices.Compact(worths)
 	for _, k := range s.p.Classes {
 		c.rank = append(c.rank, slices.Index(worths, k.Worth))
@@ -41,7 +42,6 @@
 		r := c.s.open[e.ID]
 		line := &c.lines[c.rank[r.class]]
 		*line = append(*line, r)
-		// The latest moment at which a core of the yardstick's speed would still do.
 		c.s.push(event{at: c.s.now + c.s.p.Classes[r.class].Aim, kind: evEnd, do: func() { c.giveUp(r) }})
 		c.dispatch()
 	case decide.AttemptEnded:
@@ -80,10 +80,7 @@
 			if !r.done {
 				best, soonest, spare := (*server)(nil), time.Duration(0), false
 				for _, v := range c.s.servers {
-					way := c.s.p.CrossZone
-					if c.s.nodes[r.node].zone == v.zone {
-						way = c.s.p.SameZone
-					}
+					way := c.s.meanWay(int32(r.node), v)
 					if !c.spare(v, way) {
 						continue
 					}
--- a/internal/fleetsim/refusals.go
+++ b/internal/fleetsim/refusals.go
@@ -14,7 +14,7 @@
 	Windows                              [windows]int
 	normal, overloaded, blocking, reach  float64 // servers as believed
 	pooled, held, high, q1, q2, waiting  float64
-	mean, base                           float64 // s
+	mean                                 float64 // s
 	freeNear, workNear, freeAll, workAll float64 // cores free, as a part; work in hand, in seconds of a server: of those this node reaches, and of all
 }
 
@@ -47,7 +47,6 @@
 	f.q2 += b.Q2
 	f.waiting += float64(b.Waiting)
 	f.mean += b.Mean
-	f.base += b.Base
 	free, work := s.truth(s.servers)
 	f.freeAll += free
 	f.workAll += work
--- a/internal/fleetsim/sim.go
+++ b/internal/fleetsim/sim.go
@@ -391,12 +391,15 @@
 	s.push(event{at: s.now + s.way(number, v), kind: evReach, node: number, a: at})
 }
 
-func (s *sim) way(number int32, v *server) time.Duration {
-	way := s.p.CrossZone
+func (s *sim) meanWay(number int32, v *server) time.Duration {
 	if s.nodes[number].zone == v.zone {
-		way = s.p.SameZone
+		return s.p.SameZone
 	}
-	return time.Duration(float64(way) * (0.8 + 0.4*s.rng.Float64()))
+	return s.p.CrossZone
+}
+
+func (s *sim) way(number int32, v *server) time.Duration {
+	return time.Duration(float64(s.meanWay(number, v)) * (0.8 + 0.4*s.rng.Float64()))
 }
 
 // end ends an attempt for its node.
