--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -183,12 +183,13 @@
 }
 
 // listServer is a discovery with one list, which it gives to who has another
-// version; watches on it hang. gone gets a value when one ends.
-func listServer(t *testing.T, index int, entries ...string) (address string, gone chan bool) {
+// version; watches on it hang. began gets a value when one has come, gone when one ends.
+func listServer(t *testing.T, index int, entries ...string) (address string, began, gone chan bool) {
 	t.Helper()
-	gone = make(chan bool, 100)
+	began, gone = make(chan bool, 100), make(chan bool, 100)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Query().Get("from") == fmt.Sprint(index) {
+			began <- true
 			<-r.Context().Done()
 			gone <- true
 			return
@@ -196,7 +197,7 @@
 		fmt.Fprintf(w, `{"index":%d,"snapshot":true,"endpoints":[%s]}`, index, strings.Join(entries, ","))
 	}))
 	t.Cleanup(s.CloseClientConnections)
-	return s.Listener.Addr().String(), gone
+	return s.Listener.Addr().String(), began, gone
 }
 
 // TestReloadMovesDiscovery: the old watch ends, and the list at the new
@@ -217,12 +218,13 @@
 			}
 		}
 	}
-	first, firstGone := listServer(t, 9, entryJSON("a", "127.0.0.1:1", "ready"))
-	second, _ := listServer(t, 3, entryJSON("b", "127.0.0.1:2", "ready"))
+	first, firstBegan, firstGone := listServer(t, 9, entryJSON("a", "127.0.0.1:1", "ready"))
+	second, _, _ := listServer(t, 3, entryJSON("b", "127.0.0.1:2", "ready"))
 	cfg := n.cfg
 	cfg.Discovery = first
 	n.Reload(cfg)
 	until("[a]")
+	wait(t, firstBegan, "the old watch") // the list is there before the watch that follows it
 	var late *discovery
 	n.post(func() { late = n.discovery })
 	cfg.Discovery = second
