Shedding grows with the line, lines go up to H while there is room, nodes lie evenly on the ring

q2 now holds by the square of what the line takes of the wait allowed, plus the part of arrivals that found no room over 2 s; it may exceed q2, as else a line that is once long never shrinks. A line goes up to H while that part is small, and to L above. Places are the golden ratio's, by rank, so at equal distances.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -67,6 +67,11 @@
 	waitPart    = 0.8                    // part of the tightest aim that queueing and service may take
 	holdMost    = 0.4                    // part of its aim that a request may wait here for a server
 	shedKeep    = 0.7                    // of q stays each period if nothing else finds no room
+	linePressed = 0.1                    // part of arrivals without room, from which a line goes up to L alone
+	longTau     = 2.0                    // s; over which it is smoothed: a burst is soon over
+	longPressed = 0.35                   // the same, from which so much of the line is enough for all of q2:
+	longMost    = 0.7                    // all but this; a line is to be short then, and yet never empty
+	pressPart   = 0.8                    // part of the wait allowed that a line takes at which all of q2 holds
 	holdCount   = 4096                   // requests that may wait ahead of one
 	quickPart   = 0.1                    // part of an aim under which no delay is a server's silence
 	fullPart    = 1.3                    // R as a multiple of H for reported counts: beyond it an answer is late
@@ -298,7 +303,7 @@
 			n, h = n+s.n, h+s.high
 		}
 	}
-	g.held, g.room, g.pooled = n, m.linePart()*h, h < poolUnder*float64(len(g.near))
+	g.held, g.room, g.pooled = n, h, h < poolUnder*float64(len(g.near))
 	tau := math.Min(rateTau, poolSamples/math.Max(1e-9, m.fleetRate*float64(len(g.near))))
 	g.smooth, g.smoothAt = n+(g.smooth-n)*decay(m.now-g.smoothAt, tau), m.now
 	n = math.Max(g.smooth, n-chance*math.Sqrt(h))
@@ -661,7 +666,7 @@
 		s, why = nil, NoRetry
 	case n == 0 && m.now < g.crowdedAt+recompute && m.worthless(r, m.mean*r.class.relative):
 		s, why = nil, Late
-	case n == 0 && mode == Overloaded && (r.priority && m.random() < g.q1 || !r.priority && m.random() < g.q2):
+	case n == 0 && mode == Overloaded && m.shed(r):
 		s, why = nil, Shed
 		if !g.others { // with nobody to protect, q falls while the line is short enough for all
 			g.turned -= 1 - shedKeep
@@ -682,16 +687,13 @@
 // at the servers. None waits that would wait too long behind those before it: its refusal is due at once.
 func (m *Module) hold(r *request) bool {
 	g := r.class.group
-	line, before := 1, float64(g.inLine())
+	line := 1
 	if r.priority {
-		line, before = 0, float64(g.waiting[0])
+		line = 0
 	}
-	most := time.Duration(holdMost*float64(r.class.Aim)) - r.spent
-	most = min(most, r.deadline-m.now-2*max(tickEvery, m.set.MinTick))
-	// By Little's law as many leave the servers in a mean latency as are there.
-	wait := m.mean * (before + 1) / math.Max(1, g.held)
+	wait, most := m.lineWait(r)
 	tooLong := wait >= most.Seconds() && m.now >= g.lineAt+recompute // at first H may have to grow
-	if m.looks || !g.well() || before >= holdCount || most <= 0 || tooLong {
+	if m.looks || !g.well() || g.waiting[line] >= holdCount || most <= 0 || tooLong {
 		return false
 	}
 	r.held, r.line, r.until = true, line, m.now+most
@@ -704,24 +706,55 @@
 	return true
 }
 
+// shed drops by q1, or by more of q2 the more the line takes of the wait allowed: while few wait and few were
+// turned away lately, who is dropped would soon have found room. It may be over q2, or no line would shrink.
+func (m *Module) shed(r *request) bool {
+	g := r.class.group
+	if r.priority {
+		return m.random() < g.q1
+	}
+	wait, most := m.lineWait(r)
+	part := wait/math.Max(1e-9, pressPart*most.Seconds()) + math.Min(longMost, g.long/longPressed)
+	return m.random() < g.q2*part*part
+}
+
+// lineWait is how long a request would wait here, s, and how long it may. By Little's law as many leave the
+// servers in a mean latency as are there, or as there is room for.
+func (m *Module) lineWait(r *request) (wait float64, most time.Duration) {
+	g, before := r.class.group, r.class.group.inLine()
+	if r.priority {
+		before = g.waiting[0]
+	}
+	most = time.Duration(holdMost*float64(r.class.Aim)) - r.spent
+	most = max(0, min(most, r.deadline-m.now-2*max(tickEvery, m.set.MinTick)))
+	return m.mean * float64(before+1) / math.Max(1, math.Max(g.held, g.room)), most
+}
+
 // roomy tells whether one that waits may go to a server of the mode. Where this node has nothing in hand an H
 // rounded down to none is no overload, and nothing would end to make a server normal.
 func (g *group) roomy(mode Mode) bool { return mode == Normal || mode == Overloaded && g.held < 1 }
 
 // below tells whether a server that is normal is so for one that waits: with a line there is always another
 // for the room up to H, and priority ones would find servers above it.
-func (m *Module) below(g *group, s *server) bool {
+func (m *Module) below(r *request, s *server) bool {
+	g := r.class.group
 	switch {
 	case g.held < 1:
 		return true
 	case g.pooled:
-		return g.held < g.room
+		return g.held < m.linePart(r)*g.room
 	}
-	return s.n < m.rounded(s, m.linePart()*s.high)
+	return s.n < m.rounded(s, m.linePart(r)*s.high)
 }
 
-// linePart is up to which part of H a line goes: to L where nodes are many, as each sees less of the others.
-func (m *Module) linePart() float64 { return 1 - (1-lowPart)*(1-1/m.sharers) }
+// linePart is up to which part of H a line goes: all, or towards L where some found no room lately or, where
+// others send as well, it grows: priority work needs what is left.
+func (m *Module) linePart(r *request) float64 {
+	wait, _ := m.lineWait(r)
+	grown := math.Min(1, m.sharers-1) * wait / (holdMost * r.class.Aim.Seconds())
+	pressed := math.Max(r.class.group.long/linePressed, grown)
+	return 1 - (1-lowPart)*math.Min(1, pressed)
+}
 
 // release takes a request out of the count of those that wait; its place in the line stays for now.
 func (r *request) release() {
@@ -797,7 +830,7 @@
 	if mode != Blocking && m.paced(s) {
 		return Blocking
 	}
-	if r.held && mode == Normal && !m.below(r.class.group, s) {
+	if r.held && mode == Normal && !m.below(r, s) {
 		return Overloaded
 	}
 	return mode
@@ -1095,7 +1128,9 @@
 			if g.n2 > 0 { // else none may go beyond H
 				g.turned += g.n1 * g.filled / math.Max(1, g.ticks)
 			}
-			g.q1, g.q2 = ShedSplit(math.Min(1, g.turned/math.Max(1, g.n1+g.n2)), g.n1, g.n2)
+			q := math.Min(1, g.turned/math.Max(1, g.n1+g.n2))
+			g.q1, g.q2 = ShedSplit(q, g.n1, g.n2)
+			g.long += (q - g.long) * (1 - decay(recompute, longTau))
 			g.asked += ((g.n1+g.n2)*m.mean/recompute.Seconds() - g.asked) * (1 - decay(recompute, askedTau))
 			g.others, g.n1, g.n2, g.turned, g.filled, g.ticks = g.n2 > 0, 0, 0, 0, 0, 0
 		}
@@ -1191,9 +1226,22 @@
 	m.reaches()
 }
 
+// spotOf is this node's place on the ring, as a part of it: its multiple of the golden ratio, ranked among
+// those of all. So places lie at equal distances, and still spread where there are fewer nodes than told.
+func (m *Module) spotOf() float64 {
+	multiple := func(i int) float64 { return math.Mod(float64(i)*math.Phi, 1) }
+	own, before := multiple(m.set.Self%m.set.Nodes), 0
+	for i := range m.set.Nodes {
+		if multiple(i) < own {
+			before++
+		}
+	}
+	return float64(before) / float64(m.set.Nodes)
+}
+
 // reaches renews how many servers each group reaches, and from where.
 func (m *Module) reaches() {
-	m.from, m.sharers = int(float64(len(m.ring))*math.Mod(float64(m.set.Self)*math.Phi, 1)), 0
+	m.from, m.sharers = int(float64(len(m.ring))*m.spot), 0
 	for _, g := range m.groups {
 		if g.from = m.from; !g.placed() {
 			g.ring = m.ring
@@ -1202,6 +1250,7 @@
 				g.from = 0
 			}
 		}
+		// How many nodes the zone has is not known.
 		g.ownFrom = int(float64(len(g.own)) * math.Mod(float64(m.set.Self)*math.Phi, 1))
 		size := float64(len(g.ring))
 		sharing := reachNodes
--- a/decide/state.go
+++ b/decide/state.go
@@ -57,6 +57,7 @@
 	top                 float64       // the highest worth of its classes
 	smoothAt, crowdedAt Time          // crowdedAt: when last no server was normal
 	n1, n2, q1, q2      float64       // priority and other arrivals of this period; drop probabilities
+	long                float64       // the part of arrivals that found no room, smoothed over longTau
 	turned              float64       // first attempts of this period that found no room
 	held, room          float64       // own requests in hand in reach; how many they may be for a line to go on
 	others              bool          // some arrivals of the last period had no priority
@@ -130,7 +131,8 @@
 	groups             []*group
 	kinds              map[string]*kind
 	ring               []*server         // those not gone, by their place on the ring
-	from               int               // this node's place on it
+	spot               float64           // this node's on it, as a part of it
+	from               int               // the same as an index
 	scanUpTo           int               // servers in reach that are looked at one by one
 	silent, suspects   []*server         // that owe answers to several sends; that get trials alone
 	lapsing            []lapse           // imposed modes, by when they lapse
@@ -170,7 +172,8 @@
 // that stay keep what was learned; requests keep the class that they have.
 func (m *Module) configure(s Settings) {
 	m.set = s
-	m.set.Nodes = max(1, s.Nodes)
+	m.set.Nodes, m.set.Self = max(1, s.Nodes), max(0, s.Self)
+	m.spot = m.spotOf()
 	if !s.HoldOffs {
 		m.set.MaxHoldOff = 0
 	}
