Test bed: heavy-tailed work, nodes short of CPU, and eight troubles held to bounds by a table

The hard cases of room at every scale had no tests for heavy tails, kinds with a factor of 8, one slow server of three, all slow by two, a jump from 30 to 95%, 130% for 20 s, one class alone and a node short of CPU. Each is a plan in testdata/room now, with bounds in want.txt, beside least-in-flight, random and central.

--- a/internal/fleetsim/plan.go
+++ b/internal/fleetsim/plan.go
@@ -43,8 +43,12 @@
 	DrainGrace          time.Duration
 	ConnectTimeout      time.Duration
 	Attempts            int
+	NodeCost            time.Duration // of a node's one core, for each arrival and each outcome
 }
 
+// TailMost bounds a heavy-tailed request's work, in multiples of the mean of the unbounded distribution.
+const TailMost = 100
+
 // Kind is a kind of server.
 type Kind struct {
 	Name     string
@@ -66,7 +70,8 @@
 type Class struct {
 	Name          string
 	Share         float64
-	Work          time.Duration // mean, on a core of speed 1; exponential
+	Work          time.Duration // mean, on a core of speed 1
+	Tail          float64       // shape of its Pareto distribution, up to TailMost means; 0: exponential
 	Worth         float64
 	Aim, Deadline time.Duration
 	Effect        decide.Effect
@@ -172,7 +177,7 @@
 		ColdFrom: s.Float("cold_from", 0.3, 0.01, 1), ColdTime: s.Duration("cold_time", 8*time.Second, 0, time.Hour),
 		OverloadFactor: s.Float("overload_factor", 3, 1, 100), OverloadTime: s.Duration("overload_time", time.Second, 10*time.Millisecond, time.Minute),
 		DrainGrace: s.Duration("drain_grace", 2*time.Second, 0, time.Minute), ConnectTimeout: s.Duration("connect", 120*time.Millisecond, time.Millisecond, time.Minute),
-		Attempts: s.Int("attempts", 3, 1, 16)}
+		Attempts: s.Int("attempts", 3, 1, 16), NodeCost: s.Duration("node_cost", 0, 0, time.Second)}
 	if len(p.Zones) == 0 {
 		p.Zones = []string{"a"}
 	}
@@ -197,13 +202,16 @@
 	effects := map[string]decide.Effect{"safe": decide.Safe, "keyed": decide.Keyed, "unsafe": decide.Unsafe}
 	scopes := map[string]decide.Scope{"cell": decide.ScopeCell, "zone": decide.ScopeZone, "all": decide.ScopeAll}
 	for _, t := range s.Tables("class") {
-		c := Class{Name: t.String("name", ""), Share: t.Float("share", 1, 0, 1e6), Work: t.Duration("work", 100*time.Millisecond, time.Microsecond, time.Hour),
+		c := Class{Name: t.String("name", ""), Share: t.Float("share", 1, 0, 1e6), Work: t.Duration("work", 100*time.Millisecond, time.Microsecond, time.Hour), Tail: t.Float("tail", 0, 0, 10),
 			Worth: t.Float("worth", 1, 0, 1e6), Aim: t.Duration("aim", time.Second, time.Millisecond, time.Hour), Deadline: t.Duration("deadline", 4*time.Second, 10*time.Millisecond, time.Hour),
 			Effect: effects[t.OneOf("effect", "safe", "safe", "keyed", "unsafe")], Scope: scopes[t.OneOf("key_scope", "zone", "cell", "zone", "all")],
 			Dedup: t.Duration("dedup_window", 2500*time.Millisecond, 0, time.Hour)}
 		if c.Name == "" {
 			t.Bad("name", "a name")
 		}
+		if c.Tail > 0 && c.Tail <= 1 {
+			t.Bad("tail", "0 or over 1, as else there is no mean")
+		}
 		if c.Aim > c.Deadline {
 			t.Bad("aim", "at most the deadline, %v", c.Deadline)
 		}
--- /dev/null
+++ b/internal/fleetsim/room_test.go
@@ -0,0 +1,73 @@
+package fleetsim
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// TestRoomInTrouble plays the plans of testdata/room, each of which begins with what it is for, and holds them
+// against the bounds of want.txt: means over seeds. No plan may break a rule, nor serve less worth than
+// least-in-flight by more than 0.02. A plan without bounds, or bounds without a plan, is an error.
+func TestRoomInTrouble(t *testing.T) {
+	const dir = "testdata/room"
+	text, err := os.ReadFile(filepath.Join(dir, "want.txt"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := map[string][]string{}
+	for line := range strings.Lines(string(text)) {
+		if f := strings.Fields(line); len(f) == 5 && f[0] != "#" {
+			want[f[0]] = f[1:]
+		}
+	}
+	plans, err := filepath.Glob(filepath.Join(dir, "*.toml"))
+	if err != nil || len(plans) != len(want) {
+		t.Fatalf("%d plans, %d of them with bounds: %v", len(plans), len(want), err)
+	}
+	for _, path := range plans {
+		name := strings.TrimSuffix(filepath.Base(path), ".toml")
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			number := func(column int) float64 {
+				if column >= len(want[name]) || want[name][column] == "-" {
+					return 0
+				}
+				v, err := strconv.ParseFloat(want[name][column], 64)
+				if err != nil {
+					t.Fatal(err)
+				}
+				return v
+			}
+			served, needless := map[Policy]float64{}, 0.0
+			seeds := number(0)
+			for seed := range int(seeds) {
+				p, err := LoadPlan(path)
+				if err != nil {
+					t.Fatal(err)
+				}
+				p.Seed += uint64(seed)
+				for _, policy := range []Policy{Module, LeastInFlight, Random, Central} {
+					r := Run(p, policy)
+					served[policy] += r.Served / seeds
+					if policy != Module {
+						continue
+					}
+					sound(t, r)
+					asked, refused := 0, 0
+					for _, c := range r.Classes {
+						asked, refused = asked+c.Asked, refused+c.Needless
+					}
+					needless += float64(refused) / float64(asked) / seeds
+				}
+			}
+			way := (served[Module] - served[Random]) / (served[Central] - served[Random])
+			t.Logf("served %.3f, least-in-flight %.3f, central %.3f, way %.2f, needless %.2f%%", served[Module], served[LeastInFlight], served[Central], way, 100*needless)
+			if served[Module] < number(1) || want[name][2] != "-" && way < number(2) || needless > number(3) || served[Module] < served[LeastInFlight]-0.02 {
+				t.Errorf("want %v", want[name])
+			}
+		})
+	}
+}
--- a/internal/fleetsim/sim.go
+++ b/internal/fleetsim/sim.go
@@ -181,6 +181,7 @@
 	d     decider
 	zone  int
 	queue []decide.Event
+	free  time.Duration                     // when its core is
 	told  map[decide.ServerID]time.Duration // when it heard that one drains or is gone
 }
 
@@ -501,7 +502,8 @@
 	case evDone:
 		s.finished(e.a)
 	case evOutcome:
-		s.end(e.a, e.code)
+		a, code := e.a, e.code
+		s.soon(a.r.node, func() { s.end(a, code) })
 	case evTimeout:
 		s.end(e.a, decide.TimedOut)
 	case evTimer:
@@ -539,14 +541,38 @@
 	k := &s.p.Classes[class]
 	s.counted++
 	r := &request{id: decide.RequestID(strconv.Itoa(s.counted)), class: class, node: s.someNode(), arrived: s.now,
-		work: time.Duration(s.rng.ExpFloat64() * float64(k.Work))}
+		work: s.work(k)}
 	s.open[r.id] = r
 	s.res.Classes[class].Asked++
 	w := &s.res.Windows[s.window(s.now)]
 	w.Asked++
 	w.Worth += k.Worth
 	s.push(event{at: s.now + k.Deadline + 30*time.Millisecond, kind: evGuard, r: r})
-	s.handle(int32(r.node), decide.RequestArrived{ID: r.id, Class: k.Name, Patience: k.Deadline})
+	s.soon(r.node, func() {
+		if !r.done { // the node may be later than its deadline
+			s.handle(int32(r.node), decide.RequestArrived{ID: r.id, Class: k.Name, Patience: k.Deadline - (s.now - r.arrived)})
+		}
+	})
+}
+
+// work is what a request of the class costs, on a core of speed 1.
+func (s *sim) work(k *Class) time.Duration {
+	if k.Tail == 0 {
+		return time.Duration(s.rng.ExpFloat64() * float64(k.Work))
+	}
+	least := (k.Tail - 1) / k.Tail // of the mean: Pareto's scale
+	return time.Duration(math.Min(TailMost, least*math.Pow(1-s.rng.Float64(), -1/k.Tail)) * float64(k.Work))
+}
+
+// soon does what costs a node NodeCost once its core has come to it.
+func (s *sim) soon(number int, do func()) {
+	if s.p.NodeCost == 0 {
+		do()
+		return
+	}
+	n := s.nodes[number]
+	n.free = max(n.free, s.now) + s.p.NodeCost
+	s.push(event{at: n.free, kind: evEnd, do: do})
 }
 
 // capacity is work a second that a server can do now.
