One count of needless refusals; comments that were no longer true

The part of requests refused without need was summed in the grid and in two tests, and is one method of a result now. A plan without bounds failed its test by a panic, and says so.

--- a/decide/state.go
+++ b/decide/state.go
@@ -61,7 +61,7 @@
 	n1, n2, q1, q2      float64       // priority and other arrivals of this period; drop probabilities
 	long                float64       // the part of arrivals that found no room, smoothed over longTau
 	turned              float64       // first attempts of this period that found no room
-	held, room          float64       // own requests in hand in reach; how many they may be for a line to go on
+	held, room          float64       // own requests in hand in reach; the sum of H there
 	others              bool          // some arrivals of the last period had no priority
 	lines               [2][]*request // that wait for a server, priority ones and others; some may be done
 	waiting             [2]int        // how many are not
--- a/internal/fleetsim/grid.go
+++ b/internal/fleetsim/grid.go
@@ -159,13 +159,7 @@
 		return estimate(x)
 	}
 	s.Served = over(func(r *Result) float64 { return r.Served })
-	s.Needless = over(func(r *Result) float64 {
-		needless, asked := 0, 0
-		for _, c := range r.Classes {
-			needless, asked = needless+c.Needless, asked+c.Asked
-		}
-		return float64(needless) / math.Max(1, float64(asked))
-	})
+	s.Needless = over((*Result).needless)
 	for i, c := range results[0].Classes {
 		part := func(f func(*ClassResult) int) Estimate {
 			return over(func(r *Result) float64 { return float64(f(&r.Classes[i])) / math.Max(1, float64(r.Classes[i].Asked)) })
--- a/internal/fleetsim/grid_test.go
+++ b/internal/fleetsim/grid_test.go
@@ -76,11 +76,7 @@
 		p.ToldNodes = told
 		r := Run(p, Module)
 		sound(t, r)
-		needless, asked := 0, 0
-		for _, c := range r.Classes {
-			needless, asked = needless+c.Needless, asked+c.Asked
-		}
-		if part := float64(needless) / float64(asked); part > 0.03 || r.Served < 0.95 {
+		if part := r.needless(); part > 0.03 || r.Served < 0.95 {
 			t.Errorf("20 nodes, told %d: %.2f%% refused without need, %.3f served", told, 100*part, r.Served)
 		}
 	}
--- a/internal/fleetsim/room_test.go
+++ b/internal/fleetsim/room_test.go
@@ -31,8 +31,11 @@
 		name := strings.TrimSuffix(filepath.Base(path), ".toml")
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			if want[name] == nil {
+				t.Fatal("no bounds")
+			}
 			number := func(column int) float64 {
-				if column >= len(want[name]) || want[name][column] == "-" {
+				if want[name][column] == "-" {
 					return 0
 				}
 				v, err := strconv.ParseFloat(want[name][column], 64)
@@ -56,11 +59,7 @@
 						continue
 					}
 					sound(t, r)
-					asked, refused := 0, 0
-					for _, c := range r.Classes {
-						asked, refused = asked+c.Asked, refused+c.Needless
-					}
-					needless += float64(refused) / float64(asked) / seeds
+					needless += r.needless() / seeds
 				}
 			}
 			way := (served[Module] - served[Random]) / (served[Central] - served[Random])
--- a/internal/fleetsim/sim.go
+++ b/internal/fleetsim/sim.go
@@ -49,6 +49,15 @@
 	Took     time.Duration
 }
 
+// needless is the part of all requests that was refused without need.
+func (r *Result) needless() float64 {
+	needless, asked := 0, 0
+	for _, c := range r.Classes {
+		needless, asked = needless+c.Needless, asked+c.Asked
+	}
+	return float64(needless) / math.Max(1, float64(asked))
+}
+
 // ClassResult is what became of a class's requests.
 type ClassResult struct {
 	Name                                string
