Test bed: servers share cores among running requests, choke in crowds, and events come again

Now a kind may have more slots than cores (processor sharing), and may choke: too many held for too long make it slower, or make it fail, until it has rested. Events may come again (every), and the table shows what was served in each eighth of the time and the part of servers choked.

--- a/internal/fleetsim/central.go
+++ b/internal/fleetsim/central.go
@@ -65,7 +65,7 @@
 	}
 	soon := 0
 	for _, a := range v.on {
-		if a.until <= c.s.now+way {
+		if v.left(a, v.clock+v.pace*(c.s.now-v.at).Seconds()) <= way {
 			soon++
 		}
 	}
@@ -85,7 +85,7 @@
 						continue
 					}
 					capacity, _ := c.s.capacity(v)
-					took := 2*way + time.Duration(float64(r.work)*v.slow*float64(v.kind.Cores)/capacity)
+					took := 2*way + time.Duration(float64(r.work)*v.slower(v.held)*float64(v.kind.Cores)/capacity)
 					if spare = true; best == nil || took < soonest {
 						best, soonest = v, took
 					}
--- a/internal/fleetsim/plan.go
+++ b/internal/fleetsim/plan.go
@@ -56,9 +56,23 @@
 	Cores    int
 	Speed    float64 // of a core, give or take Spread
 	Spread   float64
+	Slots    int     // requests in work at once, which share the cores; at least Cores
 	Queue    int     // requests that may wait
 	Crowding float64 // each request held beyond CrowdedAt a core slows it down by this part
 	Crowded  float64
+	Choke    Choke
+}
+
+// Choke is how a kind gets into a state of its own making: it turns slower once too many requests run or wait there for
+// too long, and stays so until it has rested.
+type Choke struct {
+	At     float64       // beyond cores + At x root of cores requests held; 0: it does not choke
+	Over   time.Duration // in the mean over so long, exponentially weighted
+	Slower float64       // then, by this factor,
+	Fails  float64       // and this part of the requests ends as errors,
+	Below  float64       // until its cores were busy under this part
+	Rest   time.Duration // in the mean over so long,
+	Most   time.Duration // or so long has passed
 }
 
 // crowd is how many times as slow a server is that holds so many requests.
@@ -99,6 +113,7 @@
 	Zone     string  // one zone, or all if empty
 	Factor   float64
 	Duration time.Duration
+	Every    time.Duration // it happens again so long after; 0: once
 }
 
 func (e Event) String() string {
@@ -193,8 +208,14 @@
 	}
 	for _, t := range s.Tables("kind") {
 		p.Kinds = append(p.Kinds, Kind{Name: t.String("name", ""), Share: t.Float("share", 1, 0, 1e6), Cores: t.Int("cores", 2, 1, 1024), Speed: t.Float("speed", 1, 0.01, 100),
-			Spread: t.Float("spread", 0.15, 0, 0.9), Queue: t.Int("queue", 8, 0, 1e6), Crowding: t.Float("crowding", 0.05, 0, 10), Crowded: t.Float("crowded", 5, 0, 1e6)})
-		if p.Kinds[len(p.Kinds)-1].Name == "" {
+			Spread: t.Float("spread", 0.15, 0, 0.9), Queue: t.Int("queue", 8, 0, 1e6), Crowding: t.Float("crowding", 0.05, 0, 10), Crowded: t.Float("crowded", 5, 0, 1e6),
+			Slots: t.Int("slots", 0, 0, 1e6),
+			Choke: Choke{At: t.Float("choke_at", 0, 0, 1e6), Over: t.Duration("choke_over", 2*time.Second, time.Millisecond, time.Hour), Slower: t.Float("choke_slower", 2.7, 1, 1000),
+				Fails: t.Float("choke_fails", 0, 0, 1), Below: t.Float("choke_below", 0.3, 0.01, 0.99), Rest: t.Duration("choke_rest", 4*time.Second, time.Millisecond, time.Hour),
+				Most: t.Duration("choke_most", 25*time.Second, time.Millisecond, time.Hour)}})
+		k := &p.Kinds[len(p.Kinds)-1]
+		k.Slots = max(k.Slots, k.Cores)
+		if k.Name == "" {
 			t.Bad("name", "a name")
 		}
 		t.End()
@@ -220,7 +241,7 @@
 	}
 	for _, t := range s.Tables("event") {
 		e := Event{At: t.Duration("at", 0, 0, time.Hour), What: t.OneOf("what", "", Drain, Kill, Restart, Add, Slow, Cut, Surge), Count: t.Int("count", 0, 0, maxServers),
-			Part: t.Float("part", 0, 0, 1), Zone: t.String("zone", ""), Factor: t.Float("factor", 0, 0, 1000), Duration: t.Duration("for", 0, 0, time.Hour)}
+			Part: t.Float("part", 0, 0, 1), Zone: t.String("zone", ""), Factor: t.Float("factor", 0, 0, 1000), Duration: t.Duration("for", 0, 0, time.Hour), Every: t.Duration("every", 0, 0, time.Hour)}
 		switch {
 		case !t.Has("what"):
 			t.Bad("what", "what happens")
@@ -228,6 +249,8 @@
 			t.Bad("factor", "how many times as much")
 		case e.What != Surge && e.Count == 0 && e.Part == 0:
 			t.Bad("count", "how many servers, or part = their part of all")
+		case e.Every > 0 && (e.Every < time.Second || e.Every < e.Duration):
+			t.Bad("every", "0, or at least 1s and as long as it lasts, %v", e.Duration)
 		case e.What == Add && e.Count == 0:
 			t.Bad("count", "how many servers are added")
 		}
@@ -248,8 +271,8 @@
 // fill adds kinds and classes where a plan has none.
 func (p *Plan) fill() {
 	if len(p.Kinds) == 0 {
-		p.Kinds = []Kind{{Name: "c2-fast", Share: 0.58, Cores: 2, Speed: 1.8, Spread: 0.15, Queue: 6, Crowding: 0.05, Crowded: 5},
-			{Name: "c4-slow", Share: 0.42, Cores: 4, Speed: 0.9, Spread: 0.1, Queue: 10, Crowding: 0.05, Crowded: 5}}
+		p.Kinds = []Kind{{Name: "c2-fast", Share: 0.58, Cores: 2, Slots: 2, Speed: 1.8, Spread: 0.15, Queue: 6, Crowding: 0.05, Crowded: 5},
+			{Name: "c4-slow", Share: 0.42, Cores: 4, Slots: 4, Speed: 0.9, Spread: 0.1, Queue: 10, Crowding: 0.05, Crowded: 5}}
 	}
 	if len(p.Classes) == 0 {
 		p.Classes = []Class{
--- a/internal/fleetsim/refusals.go
+++ b/internal/fleetsim/refusals.go
@@ -70,11 +70,11 @@
 		}
 		servers++
 		cores += float64(v.kind.Cores)
-		free += float64(v.kind.Cores - v.busy)
+		free += float64(max(0, v.kind.Cores-len(v.on)))
 		capacity, _ := s.capacity(v)
 		sum := 0.0
 		for _, a := range v.on {
-			sum += math.Max(0, (a.until-s.now).Seconds()) * capacity / float64(v.kind.Cores)
+			sum += math.Max(0, a.until-v.clock-v.pace*(s.now-v.at).Seconds())
 		}
 		for _, a := range v.queue {
 			sum += a.r.work.Seconds()
--- a/internal/fleetsim/report.go
+++ b/internal/fleetsim/report.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// parts of the time for which the table tells what was served: what decays shows there.
+const parts = 8
+
 // WriteTable prints results as tables.
 func WriteTable(w io.Writer, p *Plan, results []*Result) {
 	capacity, load := p.Capacity()
@@ -30,6 +33,18 @@
 		fmt.Fprintf(w, "%-18s %6.1f%% %6.1f%% %9.2f %9.2f %8.3f %6.1f%% %6.1fs  %s\n", r.Policy, 100*r.Served, 100*r.Worst, r.Least, r.Most,
 			float64(r.Attempts)/math.Max(1, float64(asked)), 100*r.Waste, r.Took.Seconds(), rulesText)
 	}
+	fmt.Fprintf(w, "\n%-18s", "served over time")
+	for i := range parts {
+		fmt.Fprintf(w, " %6.0f s", float64(i)*p.Duration.Seconds()/parts)
+	}
+	fmt.Fprintln(w, "   choked")
+	for _, r := range results {
+		fmt.Fprintf(w, "%-18s", r.Policy)
+		for i := range parts {
+			fmt.Fprintf(w, " %7.1f%%", 100*r.ServedIn(i*windows/parts, (i+1)*windows/parts))
+		}
+		fmt.Fprintf(w, " %7.1f%%\n", 100*r.Choked(p.Servers))
+	}
 	fmt.Fprintf(w, "\n%-18s %-12s %8s %8s %7s %8s %9s %7s %9s %9s\n", "policy", "class", "asked", "in aim", "late", "refused", "needless", "failed", "p50", "p99")
 	for _, r := range results {
 		for _, c := range r.Classes {
--- a/internal/fleetsim/sim.go
+++ b/internal/fleetsim/sim.go
@@ -58,6 +58,25 @@
 	return float64(needless) / math.Max(1, float64(asked))
 }
 
+// ServedIn is the worth served of the worth asked for in windows from to to, the latter not among them.
+func (r *Result) ServedIn(from, to int) float64 {
+	asked, served := 0.0, 0.0
+	for i := range r.Windows[from:to] {
+		w := &r.Windows[from+i]
+		asked, served = asked+w.Worth, served+w.Served
+	}
+	return served / math.Max(asked, 1e-9)
+}
+
+// Choked is the part of the fleet that is in a state of its own making, in the mean over the time.
+func (r *Result) Choked(servers int) float64 {
+	sum := 0
+	for i := range r.Windows {
+		sum += r.Windows[i].Choked
+	}
+	return float64(sum) / float64(windows*max(1, servers))
+}
+
 // ClassResult is what became of a class's requests.
 type ClassResult struct {
 	Name                                string
@@ -71,6 +90,7 @@
 	Asked, InAim, Refused, Failed               int
 	Worth, Served                               float64
 	Normal, Overloaded, Blocking, Suspect, Cold int // servers as the nodes see them, summed over nodes in reach
+	Choked                                      int // servers that are
 }
 
 // Share is a server's work by windows, against what it could do.
@@ -83,26 +103,6 @@
 	Handle(now decide.Time, e decide.Event) []decide.Action
 }
 
-type server struct {
-	id         decide.ServerID
-	number     int
-	zone       int
-	kind       *Kind
-	cell       int
-	speed      float64
-	started    time.Duration // 0: long ago
-	state      decide.ServerState
-	dead, cut  bool
-	slow       float64
-	touched    bool // by an event
-	busy, held int
-	queue, on  []*attempt // on: running
-	sent       []sending
-	work       float64
-	byWindow   [windows]float64
-	generation int // of its process
-}
-
 type sending struct {
 	at   time.Duration
 	work float64
@@ -126,9 +126,8 @@
 	s          *server
 	generation int
 	sent       time.Duration
-	ended      bool // for its node
-	running    bool
-	until      time.Duration // it is done, once running
+	ended      bool    // for its node
+	until      float64 // on its server's clock, it is done, once running
 }
 
 // Kinds of events on the virtual clock.
@@ -226,7 +225,7 @@
 	}
 	s.version = 1
 	for _, e := range p.Events {
-		s.push(event{at: e.At, kind: evHappen, do: func() { s.happen(e) }})
+		s.plan(e, e.At)
 	}
 	s.push(event{at: s.gap(), kind: evArrive})
 	s.push(event{at: p.Duration / windows, kind: evSurvey})
@@ -242,6 +241,19 @@
 	return s.res
 }
 
+// plan puts an event on the clock, and after it the next of its kind if it comes again.
+func (s *sim) plan(e Event, at time.Duration) {
+	if at > s.p.Duration {
+		return
+	}
+	s.push(event{at: at, kind: evHappen, do: func() {
+		s.happen(e)
+		if e.Every > 0 {
+			s.plan(e, at+e.Every)
+		}
+	}})
+}
+
 func (s *sim) push(e event) {
 	s.seq++
 	e.seq = s.seq
@@ -478,17 +490,18 @@
 	for i := range min(len(s.servers), mostLooked) {
 		v := s.servers[(first+i)%len(s.servers)]
 		capacity, cold := s.capacity(v)
-		if v.dead || v.cut || cold || v.state != decide.Ready || v.held >= v.kind.Cores+v.kind.Queue {
+		if v.dead || v.cut || cold || v.state != decide.Ready || v.full() {
 			continue
 		}
 		work := 0.0
-		if v.busy == v.kind.Cores {
-			work = float64(v.busy) / 2 * s.meanWork
+		if len(v.on) == v.kind.Slots {
+			work = float64(len(v.on)) / 2 * s.meanWork
 			for _, a := range v.queue {
 				work += a.r.work.Seconds()
 			}
 		}
-		if v.slow*v.kind.crowd(v.held+1)*(work+r.work.Seconds()*float64(v.kind.Cores))/capacity <= left {
+		running := min(len(v.on)+1, v.kind.Slots) // with it, once it runs
+		if v.slower(v.held+1)*(work+r.work.Seconds()*float64(max(v.kind.Cores, running)))/capacity <= left {
 			return true
 		}
 	}
@@ -509,7 +522,9 @@
 	case evReach:
 		s.reach(e)
 	case evDone:
-		s.finished(e.a)
+		if e.tok == e.a.s.plan { // else what it holds has changed since, or its process has died
+			s.finished(e.a)
+		}
 	case evOutcome:
 		a, code := e.a, e.code
 		s.soon(a.r.node, func() { s.end(a, code) })
@@ -584,16 +599,6 @@
 	s.push(event{at: n.free, kind: evEnd, do: do})
 }
 
-// capacity is work a second that a server can do now.
-func (s *sim) capacity(v *server) (capacity float64, cold bool) {
-	full := float64(v.kind.Cores) * v.speed
-	if v.started == 0 || s.p.ColdTime == 0 || s.now-v.started >= s.p.ColdTime {
-		return full, false
-	}
-	part := (s.now - v.started).Seconds() / s.p.ColdTime.Seconds()
-	return full * (s.p.ColdFrom + (1-s.p.ColdFrom)*part), true
-}
-
 func (s *sim) reach(e *event) {
 	a, v := e.a, e.a.s
 	back := s.way(e.node, v)
@@ -624,22 +629,22 @@
 	if a.ended {
 		return // given up on its way
 	}
-	if v.held >= v.kind.Cores+v.kind.Queue {
+	if v.full() {
 		s.push(event{at: s.now + back, kind: evOutcome, a: a, code: decide.Full})
 		return
 	}
+	s.settle(v)
 	v.held++
-	if v.busy < v.kind.Cores {
+	if len(v.on) < v.kind.Slots {
 		s.start(a)
 	} else {
 		v.queue = append(v.queue, a)
 	}
+	s.replan(v)
 }
 
 func (s *sim) start(a *attempt) {
 	v, r := a.s, a.r
-	v.busy++
-	a.running = true
 	if k := &s.p.Classes[r.class]; len(r.runs) > 0 {
 		last := r.runs[len(r.runs)-1]
 		switch {
@@ -652,18 +657,13 @@
 		}
 	}
 	r.runs, r.ranAt = append(r.runs, v), append(r.ranAt, a.sent)
-	capacity, _ := s.capacity(v)
-	a.until = s.now + time.Duration(float64(r.work)*v.slow*v.kind.crowd(v.held)*float64(v.kind.Cores)/capacity)
+	a.until = v.clock + r.work.Seconds()
 	v.on = append(v.on, a)
-	s.push(event{at: a.until, kind: evDone, a: a})
 }
 
 func (s *sim) finished(a *attempt) {
 	v := a.s
-	if v.generation != a.generation {
-		return // its process has died
-	}
-	v.busy--
+	s.settle(v)
 	v.held--
 	v.on = slices.DeleteFunc(v.on, func(on *attempt) bool { return on == a })
 	work := a.r.work.Seconds()
@@ -677,7 +677,11 @@
 		// its answer is lost; the node waits until it gives up
 		s.wasted += work
 	} else {
-		s.push(event{at: s.now + s.way(int32(a.r.node), v), kind: evOutcome, a: a, code: decide.OK})
+		code := decide.OK
+		if v.choke.now && v.kind.Choke.Fails > 0 && s.rng.Float64() < v.kind.Choke.Fails {
+			code = decide.ServerError
+		}
+		s.push(event{at: s.now + s.way(int32(a.r.node), v), kind: evOutcome, a: a, code: code})
 	}
 	for len(v.queue) > 0 {
 		next := v.queue[0]
@@ -689,6 +693,7 @@
 		s.start(next)
 		break
 	}
+	s.replan(v)
 	if s.central != nil {
 		s.central.dispatch()
 	}
@@ -697,7 +702,8 @@
 // die ends a server's process: what it holds breaks.
 func (s *sim) die(v *server) {
 	v.generation++
-	v.busy, v.held, v.queue, v.on, v.sent = 0, 0, nil, nil, nil
+	v.held, v.queue, v.on, v.sent, v.choke = 0, nil, nil, nil, choke{at: s.now, times: v.choke.times}
+	v.plan++
 	for _, id := range s.openIDs() {
 		for _, a := range s.open[id].attempts {
 			if a.s == v && !a.ended && a.generation < v.generation {
@@ -764,7 +770,7 @@
 			s.die(v)
 			v.started = s.now
 		case Slow:
-			v.slow *= e.Factor
+			s.slow(v, e.Factor)
 		case Cut:
 			v.cut = true
 		}
@@ -780,15 +786,27 @@
 	case Kill, Restart:
 		s.tell(hit)
 	case Slow:
-		after(func(v *server) { v.slow /= e.Factor })
+		after(func(v *server) { s.slow(v, 1/e.Factor) })
 	case Cut:
 		after(func(v *server) { v.cut = false })
 	}
 }
 
+// slow makes a server slower by a factor.
+func (s *sim) slow(v *server, by float64) {
+	s.settle(v)
+	v.slow *= by
+	s.replan(v)
+}
+
 // survey notes how the nodes see the servers.
 func (s *sim) survey() {
 	w := &s.res.Windows[s.window(s.now-1)]
+	for _, v := range s.servers {
+		if v.choke.now && !v.dead {
+			w.Choked++
+		}
+	}
 	for _, n := range s.nodes {
 		if m, ok := n.d.(*decide.Module); ok {
 			v := m.View()
@@ -810,16 +828,14 @@
 			s.check(OneAnswer, false, "%s has no answer", id)
 		}
 	}
-	asked, served := 0.0, 0.0
 	s.res.Worst = 1
 	for i := range s.res.Windows {
 		w := &s.res.Windows[i]
-		asked, served = asked+w.Worth, served+w.Served
 		if w.Asked >= 20 {
 			s.res.Worst = math.Min(s.res.Worst, w.Served/w.Worth)
 		}
 	}
-	s.res.Served = served / math.Max(asked, 1e-9)
+	s.res.Served = s.res.ServedIn(0, windows)
 	for i := range s.res.Classes {
 		slices.Sort(s.times[i])
 		if n := len(s.times[i]); n > 0 {
