The uncrowded latency never rises by what was measured under load

Now it rises only by answers at no more load than it was found at, or where the latency is above the third power of the count's growth, which no queue makes. The count is smoothed as the latency is. baseAgain is gone.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -18,7 +18,7 @@
 	queueFactor = 0.9                    // of the uncrowded latency: long queues harm where crowds slow servers,
 	queueShare  = 1.5                    // and this over the nodes at a server: own counts tell less among many
 	baseNoise   = 0.15                   // by how much chance alone takes a class's mean under its true value
-	baseAgain   = 4.0                    // times the requests at which it was uncrowded, where that is doubted
+	baseSteep   = 3.0                    // power of the count that no queue's latency rises by
 	lowPart     = 0.75                   // L as a part of H: the hysteresis; of small counts half is one or none
 	highPart    = 3.0                    // R as a multiple of H: room for priority work, which comes in lumps
 	worthCut    = 0.1                    // part of the top worth up to which no request counts as priority
@@ -199,30 +199,28 @@
 		if k.answers < kindCount || (m.now-k.since).Seconds() < math.Min(settled*k.longest, settledMost*k.mean) {
 			continue
 		}
-		tau := memoryTau
-		if more := k.held / math.Max(1, k.baseHeld); k.held >= leastWindow*m.sharers && more < baseAgain &&
-			k.mean > (1+baseNoise)*math.Max(1, more)*k.base {
-			tau = rateTau // so few more do not make such a queue: these servers are slow for good
-		}
-		var found bool
-		if k.base, found = uncrowded(k.base, k.mean, tau, k.answers*kindGain/2); found {
-			k.baseHeld = k.held
+		// It rises only by what was measured at no more load than it was found at, or by more than any queue of so
+		// many makes: these servers are slow for good. The queue that H allows must never pass for normal.
+		steep := math.Pow(math.Max(1, k.load/math.Max(1, k.baseLoad)), baseSteep)
+		switch base := uncrowded(k.base, k.mean, k.answers*kindGain/2); {
+		case base != k.base:
+			k.base, k.baseLoad = base, k.load
+		case k.load >= leastWindow*m.sharers && k.mean > (1+baseNoise)*steep*k.base:
+			k.base += tickEvery.Seconds() / rateTau * (k.mean - k.base)
+		case k.load <= k.baseLoad:
+			k.base += tickEvery.Seconds() / memoryTau * math.Max(0, k.mean-k.base)
 		}
 	}
-	m.base, _ = uncrowded(m.base, m.mean, memoryTau, 1)
+	m.base = uncrowded(m.base, m.mean, 1)
 }
 
-// uncrowded renews the least latency seen: it rises by itself, or within tau to a mean that stays far above.
-// found tells that the mean is the least now. That of a part of the usual count is further off by chance.
-func uncrowded(base, mean, tau, part float64) (renewed float64, found bool) {
+// uncrowded renews the least latency seen. That of a part of the usual count is further off by chance.
+func uncrowded(base, mean, part float64) float64 {
 	noise := math.Min(0.5, baseNoise/math.Sqrt(math.Min(1, part)))
-	if base > 0 {
-		base += tickEvery.Seconds() / tau * math.Max(base*tau/memoryTau, mean-base)
-	}
 	if base == 0 || mean < base*(1-noise) {
-		return mean / (1 - noise), true
+		return mean / (1 - noise)
 	}
-	return base, false
+	return base
 }
 
 // high is H: by Little's law the requests this node may have at a server that answers as fast as aims want,
@@ -371,6 +369,7 @@
 	}
 	k.answers++
 	k.mean += max(kindGain, 1/k.answers) * (t/c.relative - k.mean)
+	k.load += max(kindGain, 1/k.answers) * (a.ahead + 1 - k.load)
 	m.weigh(a.server, c, took)
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -82,7 +82,7 @@
 // kind is a kind of machine: a wide and slow one answers later than a narrow and fast one that does as much.
 type kind struct {
 	answers, mean, base float64 // s, smoothed latency of a mean request; uncrowded
-	baseHeld            float64 // own requests at a server when base was found
+	load, baseLoad      float64 // own requests at a server, smoothed as mean is; when base was found
 	held, took          float64 // own requests at a server and their latency, s, of late
 	longest             float64 // s, until base is found
 	heldAt, since       Time    // since: the first request that was answered was sent
