Test bed: nodes stop and start anew, clients find a number of connections, answers get lost

What the real nodes lose in restarts, in crowds of clients and to silent servers could not be played: a node's part of the load going to the others, its start with nothing learned, requests that find no connection, attempts that nobody answers. Events stop, plan keys open and lost.

--- a/internal/fleetsim/plan.go
+++ b/internal/fleetsim/plan.go
@@ -43,6 +43,8 @@
 	DrainGrace          time.Duration
 	ConnectTimeout      time.Duration
 	Attempts            int
+	Lost                float64       // part of the attempts that are never answered, nor run
+	Open                int           // requests that clients can have at a node at once; 0: any number
 	NodeCost            time.Duration // of a node's one core, for each arrival and each outcome
 }
 
@@ -101,6 +103,7 @@
 	Add     = "add"     // new servers, cold
 	Slow    = "slow"    // slower by Factor for Duration
 	Cut     = "cut"     // unreachable for Duration
+	Stop    = "stop"    // so many nodes, in turn, get no requests for Duration, and start again with nothing learned
 	Surge   = "surge"   // the load is Factor times as high for Duration
 )
 
@@ -119,6 +122,8 @@
 func (e Event) String() string {
 	s := fmt.Sprintf("%v: %s", e.At, e.What)
 	switch {
+	case e.What == Stop:
+		return s + fmt.Sprintf(" %d nodes, %v", e.Count, e.Duration)
 	case e.What == Surge:
 		return s + fmt.Sprintf(" x%v for %v", e.Factor, e.Duration)
 	case e.Count > 0:
@@ -192,7 +197,7 @@
 		ColdFrom: s.Float("cold_from", 0.3, 0.01, 1), ColdTime: s.Duration("cold_time", 8*time.Second, 0, time.Hour),
 		OverloadFactor: s.Float("overload_factor", 3, 1, 100), OverloadTime: s.Duration("overload_time", time.Second, 10*time.Millisecond, time.Minute),
 		DrainGrace: s.Duration("drain_grace", 2*time.Second, 0, time.Minute), ConnectTimeout: s.Duration("connect", 120*time.Millisecond, time.Millisecond, time.Minute),
-		Attempts: s.Int("attempts", 3, 1, 16), NodeCost: s.Duration("node_cost", 0, 0, time.Second)}
+		Attempts: s.Int("attempts", 3, 1, 16), Open: s.Int("open", 0, 0, 1e6), Lost: s.Float("lost", 0, 0, 1), NodeCost: s.Duration("node_cost", 0, 0, time.Second)}
 	if len(p.Zones) == 0 {
 		p.Zones = []string{"a"}
 	}
@@ -240,7 +245,7 @@
 		t.End()
 	}
 	for _, t := range s.Tables("event") {
-		e := Event{At: t.Duration("at", 0, 0, time.Hour), What: t.OneOf("what", "", Drain, Kill, Restart, Add, Slow, Cut, Surge), Count: t.Int("count", 0, 0, maxServers),
+		e := Event{At: t.Duration("at", 0, 0, time.Hour), What: t.OneOf("what", "", Drain, Kill, Restart, Add, Slow, Cut, Stop, Surge), Count: t.Int("count", 0, 0, maxServers),
 			Part: t.Float("part", 0, 0, 1), Zone: t.String("zone", ""), Factor: t.Float("factor", 0, 0, 1000), Duration: t.Duration("for", 0, 0, time.Hour), Every: t.Duration("every", 0, 0, time.Hour)}
 		switch {
 		case !t.Has("what"):
@@ -251,6 +256,8 @@
 			t.Bad("count", "how many servers, or part = their part of all")
 		case e.Every > 0 && (e.Every < time.Second || e.Every < e.Duration):
 			t.Bad("every", "0, or at least 1s and as long as it lasts, %v", e.Duration)
+		case e.What == Stop && e.Count == 0:
+			t.Bad("count", "how many nodes are stopped")
 		case e.What == Add && e.Count == 0:
 			t.Bad("count", "how many servers are added")
 		}
@@ -301,7 +308,7 @@
 }
 
 func (p *Plan) settings(node int) decide.Settings {
-	s := decide.Settings{Nodes: cmp.Or(p.ToldNodes, p.Nodes), Self: node, Zone: p.Zones[node%len(p.Zones)], Zones: p.Zones, MaxAttempts: p.Attempts, MayCancel: true, HoldOffs: true,
+	s := decide.Settings{Nodes: cmp.Or(p.ToldNodes, p.Nodes), Self: node, Zone: p.Zones[node%len(p.Zones)], Zones: p.Zones, MaxAttempts: p.Attempts, MaxOpen: p.Open, MayCancel: true, HoldOffs: true,
 		MaxHoldOff: 2 * time.Second, ConnectTimeout: p.ConnectTimeout, MinTick: 5 * time.Millisecond, ReportVia: decide.ReportNone, ConnIdle: time.Minute,
 		DrainGrace: p.DrainGrace, ColdFrom: p.ColdFrom, ColdTime: p.ColdTime, OverloadFactor: p.OverloadFactor, OverloadTime: p.OverloadTime, Goal: decide.Goal{Whole: 1}}
 	for _, k := range p.Kinds {
--- a/internal/fleetsim/sim.go
+++ b/internal/fleetsim/sim.go
@@ -167,6 +167,8 @@
 	seq      uint64
 	heap     []event
 	nodes    []*node
+	serving  []int // by place, the number of the node there; -1: none just now
+	stopped  int   // the place whose node was stopped last, and one
 	servers  []*server
 	byID     map[decide.ServerID]*server
 	next     int // server number
@@ -186,6 +188,7 @@
 }
 
 type node struct {
+	open  int // requests without their final answer
 	d     decider
 	zone  int
 	queue []decide.Event
@@ -210,20 +213,11 @@
 	if policy == Central {
 		s.central = newCentral(s)
 	}
+	s.version = 1
+	s.serving = make([]int, p.Nodes)
 	for i := range p.Nodes {
-		n := &node{zone: i % len(p.Zones), told: map[decide.ServerID]time.Duration{}}
-		switch policy {
-		case Module:
-			n.d = decide.New(p.settings(i), int64(p.Seed)*1000+int64(i))
-		case Central:
-			n.d = s.central
-		default:
-			n.d = plainPolicy(policy, p.Seed*1000+uint64(i))
-		}
-		s.nodes = append(s.nodes, n)
-		s.handle(int32(i), decide.ListUpdate{Kind: decide.ListFull, Version: 1, Entries: s.entries(s.servers)})
+		s.startNode(i)
 	}
-	s.version = 1
 	for _, e := range p.Events {
 		s.plan(e, e.At)
 	}
@@ -241,6 +235,22 @@
 	return s.res
 }
 
+// startNode starts the node of a place with nothing learned. The one before it there, if any, still ends what it has.
+func (s *sim) startNode(place int) {
+	p, number := s.p, len(s.nodes)
+	n := &node{zone: place % len(p.Zones), told: map[decide.ServerID]time.Duration{}}
+	switch s.policy {
+	case Module:
+		n.d = decide.New(p.settings(place), int64(p.Seed)*1000+int64(number))
+	case Central:
+		n.d = s.central
+	default:
+		n.d = plainPolicy(s.policy, p.Seed*1000+uint64(number))
+	}
+	s.nodes, s.serving[place] = append(s.nodes, n), number
+	s.handle(int32(number), decide.ListUpdate{Kind: decide.ListFull, Version: s.version, Entries: s.entries(s.servers)})
+}
+
 // plan puts an event on the clock, and after it the next of its kind if it comes again.
 func (s *sim) plan(e Event, at time.Duration) {
 	if at > s.p.Duration {
@@ -448,6 +458,9 @@
 		return
 	}
 	r.done = true
+	if how != "closed" {
+		s.nodes[r.node].open--
+	}
 	c, k := &s.res.Classes[r.class], &s.p.Classes[r.class]
 	took := s.now - r.arrived
 	s.check(OneAnswer, took <= k.Deadline+5*time.Millisecond, "%s is answered after %v", id, took)
@@ -547,11 +560,38 @@
 
 // someNode is the node that the next request comes to.
 func (s *sim) someNode() int {
-	hot := min(s.p.HotNodes, len(s.nodes))
-	if part := float64(hot) * s.p.HotFactor; hot > 0 && s.rng.Float64()*(part+float64(len(s.nodes)-hot)) < part {
-		return s.rng.IntN(hot)
+	places := len(s.serving)
+	hot := min(s.p.HotNodes, places)
+	for {
+		place := 0
+		if part := float64(hot) * s.p.HotFactor; hot > 0 && s.rng.Float64()*(part+float64(places-hot)) < part {
+			place = s.rng.IntN(hot)
+		} else {
+			place = hot + s.rng.IntN(max(1, places-hot))
+		}
+		if number := s.serving[place]; number >= 0 {
+			return number
+		}
+	}
+}
+
+// stop takes the nodes of the next places out of service for a while, but never the last that serves.
+func (s *sim) stop(e Event) {
+	for range e.Count {
+		place := s.stopped % len(s.serving)
+		left := 0
+		for _, number := range s.serving {
+			if number >= 0 {
+				left++
+			}
+		}
+		if left < 2 || s.serving[place] < 0 {
+			return
+		}
+		s.serving[place] = -1
+		s.stopped++
+		s.push(event{at: s.now + e.Duration, kind: evEnd, do: func() { s.startNode(place) }})
 	}
-	return hot + s.rng.IntN(max(1, len(s.nodes)-hot))
 }
 
 func (s *sim) arrive() {
@@ -571,6 +611,12 @@
 	w := &s.res.Windows[s.window(s.now)]
 	w.Asked++
 	w.Worth += k.Worth
+	if n := s.nodes[r.node]; s.p.Open > 0 && n.open >= s.p.Open {
+		s.final(r.id, "closed") // it found no connection
+		return
+	} else {
+		n.open++
+	}
 	s.push(event{at: s.now + k.Deadline + 30*time.Millisecond, kind: evGuard, r: r})
 	s.soon(r.node, func() {
 		if !r.done { // the node may be later than its deadline
@@ -613,6 +659,9 @@
 		s.push(event{at: s.now + back, kind: evOutcome, a: a, code: decide.ConnectFailed})
 		return
 	}
+	if s.p.Lost > 0 && s.rng.Float64() < s.p.Lost {
+		return
+	}
 	work := a.r.work.Seconds()
 	if capacity, cold := s.capacity(v); cold {
 		v.sent = append(v.sent, sending{s.now, work})
@@ -729,6 +778,10 @@
 		s.push(event{at: s.now + e.Duration, kind: evEnd, do: func() { s.rate /= e.Factor }})
 		return
 	}
+	if e.What == Stop {
+		s.stop(e)
+		return
+	}
 	if e.What == Add {
 		var added []*server
 		for range e.Count {
