--- a/internal/fleetsim/server.go
+++ b/internal/fleetsim/server.go
@@ -40,7 +40,6 @@
 	held, busy float64       // requests that run or wait; part of the cores
 	since      time.Duration // it has choked
 	now        bool
-	times      int // that it has
 }
 
 // crowded renews the means of what a server holds, before that changes. It must be called for each change.
@@ -59,7 +58,6 @@
 		c.now, c.held = false, held
 	case !c.now && c.held > float64(v.kind.Cores)+k.At*math.Sqrt(float64(v.kind.Cores)):
 		c.now, c.since, c.busy = true, s.now, 1
-		c.times++
 	}
 }
 
--- a/internal/fleetsim/sim.go
+++ b/internal/fleetsim/sim.go
@@ -450,6 +450,9 @@
 	}
 }
 
+// closed is the end of a request that found no connection at its node.
+const closed = "closed"
+
 // final gives a request its final answer.
 func (s *sim) final(id decide.RequestID, how string) {
 	r := s.open[id]
@@ -458,7 +461,7 @@
 		return
 	}
 	r.done = true
-	if how != "closed" {
+	if how != closed {
 		s.nodes[r.node].open--
 	}
 	c, k := &s.res.Classes[r.class], &s.p.Classes[r.class]
@@ -611,12 +614,12 @@
 	w := &s.res.Windows[s.window(s.now)]
 	w.Asked++
 	w.Worth += k.Worth
-	if n := s.nodes[r.node]; s.p.Open > 0 && n.open >= s.p.Open {
-		s.final(r.id, "closed") // it found no connection
+	n := s.nodes[r.node]
+	if s.p.Open > 0 && n.open >= s.p.Open {
+		s.final(r.id, closed)
 		return
-	} else {
-		n.open++
 	}
+	n.open++
 	s.push(event{at: s.now + k.Deadline + 30*time.Millisecond, kind: evGuard, r: r})
 	s.soon(r.node, func() {
 		if !r.done { // the node may be later than its deadline
@@ -751,7 +754,7 @@
 // die ends a server's process: what it holds breaks.
 func (s *sim) die(v *server) {
 	v.generation++
-	v.held, v.queue, v.on, v.sent, v.choke = 0, nil, nil, nil, choke{at: s.now, times: v.choke.times}
+	v.held, v.queue, v.on, v.sent, v.choke = 0, nil, nil, nil, choke{at: s.now}
 	v.plan++
 	for _, id := range s.openIDs() {
 		for _, a := range s.open[id].attempts {
