--- a/decide/state.go
+++ b/decide/state.go
@@ -152,7 +152,7 @@
 	answers            float64
 	mean, base         float64 // s: smoothed latency; uncrowded
 	fleetRate, peak    float64 // answers each second from the mean server; the most that this has been
-	failing, mute      float64 // smoothed share of attempts that fail; s: what an attempt lasts on average of those that are overdue
+	failing, mute      float64 // smoothed share of attempts that fail; s an attempt for which those never answered were counted
 	trials             float64 // trial requests allowed
 	budget             float64 // further attempts allowed
 	subscribed, asking bool
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -536,8 +536,12 @@
 		cfg := testConfig("127.0.0.1:1")
 		cfg.Settings.MaxOpen = most
 		n := New(cfg, slog.New(slog.DiscardHandler))
-		if room := n.front.most; n.set.MaxOpen != min(room, max(most, 0)) && (most > 0 || n.set.MaxOpen != room) {
-			t.Errorf("%d for settings of %d and %d connections", n.set.MaxOpen, most, room)
+		want := n.front.most
+		if most > 0 {
+			want = min(want, most)
+		}
+		if n.set.MaxOpen != want {
+			t.Errorf("%d for settings of %d, want %d", n.set.MaxOpen, most, want)
 		}
 		if !reflect.DeepEqual(n.cfg.Settings, cfg.Settings) {
 			t.Error("the settings that a reload is compared with have changed")
