A node that stood still sends nothing on for clients that have gone

Seen: one node, stopped for 4 s, unsafe requests with a deadline of 1 s whose clients give up in time and close. After it woke, 5 of 80 such requests were sent to servers 2.8 s late (connections to servers at hand; without them none, as dialling leaves time for the client's end to be read). Ruled out: the relay (ends and bytes had reached the node's kernel), the module (it was told that the request had its whole time). At fault: platform.read and Sidecar.read counted a request from when it was read; owner.open and owner.send asked nobody whether its client was still there, so the server's reader of that connection raced with the attempt.

A request now counts from when its last bytes came, which the kernel knows (tcpi_last_data_recv), and the client's end is looked at before a request is opened and before each attempt. What has outlived its time is refused, or failed if it may have run. An attempt whose time passed before its first byte is not written. The wall clock can be set wrong (INDIGOTACK_CLOCK_OFFSET), and the program can be built wrong on purpose (tag faulty), both for rehearsals.

--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -19,14 +19,16 @@
 	"syscall"
 
 	"indigotack/internal/appconfig"
+	"indigotack/internal/clock"
 	"indigotack/internal/node"
 )
 
 func main() {
 	app := flag.String("app", "", "run as a sidecar by this application's `file`")
 	flag.Parse()
-	err := error(nil)
+	err := clock.Check()
 	switch {
+	case err != nil:
 	case flag.NArg() > 0:
 		err = fmt.Errorf("unknown argument %q", flag.Arg(0))
 	case *app != "":
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -325,6 +325,10 @@
 	if err != nil {
 		return result{code: unsent(ctx, err)}
 	}
+	if !time.Now().Before(end) {
+		c.release() // nothing was sent on it
+		return result{code: decide.Moot}
+	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if sent, err := c.Write(msg); err != nil {
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -247,6 +247,7 @@
 	if err := l.decode(json.NewDecoder(body)); body.N <= 0 {
 		return fmt.Errorf("discovery's list is over %d bytes", maxList)
 	} else if err != nil {
+		onTorn(err)
 		return fmt.Errorf("discovery's list: %w", err)
 	}
 	l.note(d.log)
@@ -352,6 +353,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		onSilence(err)
 		if d.index != before || time.Since(began) > d.hold+callGrace {
 			wait = backoffLow
 		}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -100,6 +100,7 @@
 		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug)}
 	limited := limitListener(ln, f.most)
 	srv.ConnState = limited.note
+	srv.ConnContext = withClient
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(limited) }()
 	select {
@@ -107,6 +108,7 @@
 		return fmt.Errorf("serving clients: %w", err)
 	case <-ctx.Done():
 	}
+	onStop()
 	ends := time.Now().Add(max(f.longest()+finishSlack, lingerTime+finishTime))
 	f.endsAt.Store(ends.UnixNano())
 	f.linger(func() int { return limited.open() })
@@ -152,6 +154,7 @@
 	select {
 	case a := <-t.req.answer:
 		f.write(w, r, a)
+		afterAnswer(r)
 	case <-r.Context().Done():
 		t.owner.post(func() { t.owner.abandon(t.req) })
 		// A client that only ended its sending can still read. Without a word
@@ -188,7 +191,8 @@
 }
 
 func (f *platform) read(w http.ResponseWriter, r *http.Request) (*taken, int, error) {
-	arrived := time.Now() // the body may take a while, and the client's clock runs
+	client := clientOf(r)
+	arrived := client.spokeAt() // the body may take a while, and the client's clock runs
 	e := decide.RequestArrived{Class: r.Header.Get("X-Class"), Tenant: r.Header.Get("X-Tenant"),
 		Repeat: r.Header.Get("X-Retry") == "1"}
 	bad := func(status int, format string, args ...any) (*taken, int, error) {
@@ -231,7 +235,7 @@
 	if err != nil {
 		return bad(status, "%w", err)
 	}
-	return &taken{owner: f.owner, event: e, req: &request{id: e.ID, deadline: f.front.deadline(arrived, patience),
+	return &taken{owner: f.owner, event: e, req: &request{id: e.ID, deadline: f.front.deadline(arrived, patience), left: client.left,
 		answer: make(chan answer, 1), out: &outbound{method: r.Method, url: target(r.URL), host: r.Host, header: endToEnd(r.Header), body: body}}}, 0, nil
 }
 
--- /dev/null
+++ b/internal/node/mistakes.go
@@ -0,0 +1,22 @@
+//go:build !faulty
+
+package node
+
+import (
+	"net/http"
+
+	"indigotack/decide"
+)
+
+// The program can be built wrong on purpose, with the tag faulty: rehearsals
+// have to catch each of the mistakes in mistakes_faulty.go. In any other build
+// these do nothing.
+
+func afterAnswer(*http.Request)                                     {}
+func afterAttempt(again func() result, res result) result           { return res }
+func onStop()                                                       {}
+func onTorn(error)                                                  {}
+func onSilence(error)                                               {}
+func listedAs(_ entry, state decide.ServerState) decide.ServerState { return state }
+func startedAt(e entry) int64                                       { return e.SinceMS }
+func instead(_ *owner, id decide.ServerID) decide.ServerID          { return id }
--- /dev/null
+++ b/internal/node/mistakes_faulty.go
@@ -0,0 +1,100 @@
+//go:build faulty
+
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"indigotack/decide"
+)
+
+// mistake is what this build does wrong.
+var mistake = os.Getenv("INDIGOTACK_MISTAKE")
+
+var (
+	count           atomic.Int64
+	leaked          sync.Map     // what nobody closes
+	coldest         atomic.Value // the name of the server that started last
+	discoverySilent atomic.Bool
+)
+
+// afterAnswer: "answers-twice" says more on each tenth request's connection.
+func afterAnswer(r *http.Request) {
+	if c := clientOf(r); mistake == "answers-twice" && c.raw != nil && count.Add(1)%10 == 0 {
+		time.AfterFunc(3*time.Millisecond, func() {
+			c.raw.Control(func(fd uintptr) { syscall.Write(int(fd), []byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")) })
+		})
+	}
+}
+
+// afterAttempt: "repeats-unsafe" makes any attempt again that ended as a
+// reset; "leaks" keeps a descriptor of each fourth attempt for ever.
+func afterAttempt(again func() result, res result) result {
+	switch {
+	case mistake == "repeats-unsafe" && res.code == decide.Reset:
+		return again()
+	case mistake == "leaks" && count.Add(1)%4 == 0:
+		if f, err := os.Open(os.DevNull); err == nil {
+			leaked.Store(count.Load(), f)
+		}
+	}
+	return res
+}
+
+// onStop: "drops-at-stop" ends at once.
+func onStop() {
+	if mistake == "drops-at-stop" {
+		syscall.Exit(0) // os.Exit lingers under the race detector
+	}
+}
+
+// onTorn: "ends-on-torn-list".
+func onTorn(err error) {
+	if mistake == "ends-on-torn-list" && errors.Is(err, io.ErrUnexpectedEOF) {
+		panic(err)
+	}
+}
+
+// onSilence: "hangs-with-discovery" has its loop wait for a discovery that says nothing.
+func onSilence(err error) {
+	if mistake == "hangs-with-discovery" && errors.Is(err, context.DeadlineExceeded) {
+		discoverySilent.Store(true)
+	}
+}
+
+// listedAs: "ignores-drains" takes draining servers for ready ones.
+func listedAs(_ entry, state decide.ServerState) decide.ServerState {
+	if mistake == "ignores-drains" && state == decide.Draining {
+		return decide.Ready
+	}
+	return state
+}
+
+// startedAt: "floods-cold" takes cold servers for warm ones, and sends them all.
+func startedAt(e entry) int64 {
+	if mistake == "floods-cold" {
+		if e.SinceMS > 0 {
+			coldest.Store(e.Name)
+		}
+		return 0
+	}
+	return e.SinceMS
+}
+
+func instead(n *owner, id decide.ServerID) decide.ServerID {
+	if discoverySilent.Load() {
+		time.Sleep(20 * time.Second)
+	}
+	if name, ok := coldest.Load().(string); ok {
+		return n.ids.of(name)
+	}
+	return id
+}
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/clock"
 )
 
 const (
@@ -22,7 +23,8 @@
 type owner struct {
 	log         *slog.Logger
 	start       time.Time
-	inbox       chan func() // run by the loop, one at a time
+	wall        time.Duration // what the wall clock read then, as Unix time
+	inbox       chan func()   // run by the loop, one at a time
 	ended       chan struct{}
 	backends    *pool
 	listChanged func(servers int)       // called by the loop
@@ -43,6 +45,7 @@
 	id       decide.RequestID
 	out      *outbound
 	deadline time.Time
+	left     func() bool // whether the client has closed its connection
 	answer   chan answer // takes the one final answer
 	done     bool
 	attempts []context.CancelFunc
@@ -61,7 +64,7 @@
 }
 
 func newOwner(s decide.Settings, seed int64, sockets int, log *slog.Logger) *owner {
-	return &owner{log: log, start: time.Now(), inbox: make(chan func(), inboxSize), ended: make(chan struct{}),
+	return &owner{log: log, start: time.Now(), wall: time.Duration(clock.Wall().UnixNano()), inbox: make(chan func(), inboxSize), ended: make(chan struct{}),
 		backends: newPool(s, sockets), listChanged: func(int) {}, set: s, module: decide.New(s, seed), ids: newIDs(),
 		listed: map[string]decide.ServerID{}, requests: map[decide.RequestID]*request{}}
 }
@@ -107,7 +110,7 @@
 // now is the module's clock: wall time at the start plus what has passed, so
 // that it reads like the list's times and never steps back.
 func (n *owner) now() decide.Time {
-	return time.Duration(n.start.UnixNano()) + time.Since(n.start)
+	return n.wall + time.Since(n.start)
 }
 
 // handle tells the module of an event and carries out what it decides, in order.
@@ -172,7 +175,12 @@
 		r.answer <- answer{status: http.StatusServiceUnavailable}
 		return
 	}
-	e.Patience = time.Until(r.deadline)
+	if e.Patience = time.Until(r.deadline); e.Patience <= 0 || r.left() {
+		// It came while the process stood still, or lay unread for as long.
+		r.done = true
+		r.answer <- answer{status: http.StatusServiceUnavailable}
+		return
+	}
 	n.requests[r.id] = r
 	// The module ends a request at its deadline. The guard is for one that it
 	// does not end, as an answer in time is owed whatever it does.
@@ -236,6 +244,9 @@
 	}
 	number := len(r.attempts)
 	left := time.Until(r.deadline)
+	if !r.done && (left <= 0 || r.left()) {
+		n.outlived(r)
+	}
 	if a.Timeout != 0 {
 		left = min(left, a.Timeout)
 	}
@@ -248,14 +259,28 @@
 	}
 	r.running++
 	began := time.Now()
+	server := instead(n, a.Server)
 	go func() {
 		defer cancel()
-		res := n.backends.attempt(ctx, a.Server, r.out)
+		attempt := func() result { return n.backends.attempt(ctx, server, r.out) }
+		res := afterAttempt(attempt, attempt())
 		took := time.Since(began)
 		n.post(func() { n.attemptEnded(r, number, a.Server, took, res) })
 	}()
 }
 
+// outlived ends a request whose time is over, or whose client has gone, before
+// it is sent. The owner may hear of either only now: a process that has stood
+// still finds its timers, its clients' ends and its own decisions in any order.
+func (n *owner) outlived(r *request) {
+	a := answer{status: http.StatusServiceUnavailable}
+	if len(r.attempts) > 0 {
+		a.status = http.StatusGatewayTimeout // an earlier attempt may have run
+	}
+	n.finish(r.id, a)
+	n.queue = append(n.queue, decide.RequestAbandoned{ID: r.id})
+}
+
 func (n *owner) attemptEnded(r *request, number int, server decide.ServerID, took time.Duration, res result) {
 	r.running--
 	served := answer{status: res.status, served: true, header: res.header, body: res.body}
@@ -294,9 +319,9 @@
 		}
 	}
 	for _, e := range entries {
-		id, state := n.ids.of(e.Name), states[e.Status]
+		id, state := n.ids.of(e.Name), listedAs(e, states[e.Status])
 		u.Entries = append(u.Entries, decide.Server{ID: id, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, State: state,
-			Size: e.Weight, StartedAt: time.Duration(e.SinceMS) * time.Millisecond})
+			Size: e.Weight, StartedAt: time.Duration(startedAt(e)) * time.Millisecond})
 		if missing[e.Name] = state == decide.Gone; state != decide.Gone {
 			n.listed[e.Name] = id
 			n.backends.set(id, e.Address, e.SinceMS)
--- a/internal/node/sidecar.go
+++ b/internal/node/sidecar.go
@@ -16,6 +16,7 @@
 
 	"indigotack/decide"
 	"indigotack/internal/appconfig"
+	"indigotack/internal/clock"
 	"indigotack/internal/route"
 )
 
@@ -234,7 +235,7 @@
 		if was, known := s.entries[e.Name]; known && was.Address == e.Address {
 			e.SinceMS = was.SinceMS
 		} else if !first {
-			e.SinceMS = time.Now().UnixMilli()
+			e.SinceMS = clock.Wall().UnixMilli()
 		}
 		entries = append(entries, e)
 	}
@@ -312,7 +313,8 @@
 
 // read checks an ordinary client's request and finds its pool.
 func (s *Sidecar) read(w http.ResponseWriter, r *http.Request) (t *taken, status int, err error) {
-	arrived := time.Now() // the body may take a while, and the client's clock runs
+	client := clientOf(r)
+	arrived := client.spokeAt() // the body may take a while, and the client's clock runs
 	if status, err := framing(r); err != nil {
 		return nil, status, err
 	}
@@ -351,7 +353,7 @@
 	header := endToEnd(r.Header)
 	s.complete(header, r, app, &choice, id)
 	e := decide.RequestArrived{ID: id, Class: choice.Class, Tenant: choice.Tenant, Key: choice.Key, Repeat: r.Header.Get("X-Retry") == "1"}
-	return &taken{owner: pool.owner, event: e, done: done, req: &request{id: id, deadline: s.front.deadline(arrived, choice.Deadline),
+	return &taken{owner: pool.owner, event: e, done: done, req: &request{id: id, deadline: s.front.deadline(arrived, choice.Deadline), left: client.left,
 		answer: make(chan answer, 1), out: &outbound{method: r.Method, url: target(r.URL), host: r.Host, header: header, body: body}}}, 0, nil
 }
 
