A rig for fleets of processes: relays, faults, histories and checkers; indigoctl rehearse

Failures of several processes could not be played: the demonstration is one process, the simulators play decisions. The rig starts real nodes, servers in processes of their own, discovery and clients, puts faults between them by a plan's timetable, and judges the history: the four rules, nothing sent for nobody, processes, descriptors and memory, goodput. Clients have connections of their own, which tell more bytes after an answer and a crossing close; the ledger is the demonstration's, fed from the history.

--- a/cmd/indigoctl/main.go
+++ b/cmd/indigoctl/main.go
@@ -7,6 +7,12 @@
 	"os"
 
 	"indigotack/internal/ctl"
+	"indigotack/internal/rig"
 )
 
-func main() { os.Exit(ctl.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	if rig.Role() { // one of a rehearsal's own processes
+		return
+	}
+	os.Exit(ctl.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/ctl/rehearse.go
@@ -0,0 +1,133 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"indigotack/internal/cli"
+	"indigotack/internal/rig"
+)
+
+type rehearseCommand struct {
+	Plan    string `arg:"" optional:"" help:"The plan; docs/rehearse.md has every key."`
+	Seed    uint64 `help:"Seed of all that is drawn, instead of the plan's; of the first plan with --random."`
+	Random  int    `help:"Play so many plans drawn by seed instead, and shrink each that fails."`
+	Tries   int    `help:"How often a failing plan is played to find a smaller one, with --random." default:"30"`
+	Program string `help:"The node's program; by default the indigotack beside this one."`
+	JSON    string `name:"json" help:"Write the verdict to this file." placeholder:"FILE"`
+	HTML    string `name:"html" help:"Draw the run into this file." placeholder:"FILE"`
+	Keep    string `help:"Keep the history and every process's files and log in this folder; with --random, the plans that fail." placeholder:"DIR"`
+	Steps   bool   `help:"Print the timetable and play nothing."`
+}
+
+func (c *rehearseCommand) Run(o *cli.Output) error {
+	if (c.Plan == "") == (c.Random == 0) {
+		return cli.Usage("want a plan, or --random with a number")
+	}
+	if c.Random < 0 || c.Random > 10_000 || c.Tries < 0 || c.Tries > 1000 {
+		return cli.Usage("--random %d --tries %d, want up to 10000 plans and 1000 tries", c.Random, c.Tries)
+	}
+	program := c.Program
+	if program == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		program = filepath.Join(filepath.Dir(self), "indigotack")
+	}
+	if _, err := os.Stat(program); err != nil && !c.Steps {
+		return fmt.Errorf("the node's program (name one with --program): %w", err)
+	}
+	if c.Keep != "" {
+		if err := os.MkdirAll(c.Keep, 0o755); err != nil {
+			return err
+		}
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if c.Random > 0 {
+		return c.random(ctx, o, program)
+	}
+	plan, err := rig.LoadPlan(c.Plan)
+	if err != nil {
+		return err
+	}
+	if c.Seed != 0 {
+		plan.Seed = c.Seed
+	}
+	if c.Steps {
+		for _, s := range plan.Timetable() {
+			fmt.Fprintf(o.Out, "%8.2f s  %v\n", s.At.Seconds(), s)
+		}
+		return nil
+	}
+	fmt.Fprintf(o.Out, "%s: %d nodes, %d servers, %v requests a second for %v, seed %d\n", plan.Name, plan.Nodes, plan.Servers.Count, plan.Rate, plan.Length, plan.Seed)
+	progress := &cli.Progress{To: o.Out, Every: 2 * time.Second}
+	report, err := rig.Run(ctx, plan, rig.Options{Program: program, Dir: c.Keep, Progress: func(p rig.Progress) {
+		progress.Line(p.At, "%4.1f of %v: %d asked, %d in aim, %d not; %s", p.At.Seconds(), p.Of, p.Asked, p.InAim, p.Other, orNothing(p.Doing))
+	}})
+	progress.End()
+	if errors.Is(err, context.Canceled) {
+		return errors.New("ended early: all that was started has been ended, and nothing is judged")
+	}
+	if err != nil {
+		return err
+	}
+	report.Write(o.Out)
+	if err := errors.Join(cli.WriteTo(c.JSON, report.WriteJSON), cli.WriteTo(c.HTML, report.WriteHTML)); err != nil {
+		return err
+	}
+	if !report.Sound() {
+		return errMistaken
+	}
+	return nil
+}
+
+// random plays plans drawn from one seed after another.
+func (c *rehearseCommand) random(ctx context.Context, o *cli.Output, program string) error {
+	began, failed, untimed := time.Now(), 0, 0
+	for i := range c.Random {
+		plan := rig.Random(max(1, c.Seed) + uint64(i))
+		report, err := rig.Run(ctx, plan, rig.Options{Program: program})
+		if errors.Is(err, context.Canceled) {
+			fmt.Fprintf(o.Out, "ended early, after %d of %d plans\n", i, c.Random)
+			break
+		}
+		if err != nil {
+			return fmt.Errorf("%s: %w", plan.Name, err)
+		}
+		if report.Untimed {
+			untimed++
+		}
+		if report.Sound() {
+			continue
+		}
+		failed++
+		v := report.Violations[0]
+		fmt.Fprintf(o.Out, "%s: %s: %s\n", plan.Name, v.Checker, v.Text)
+		small, played := rig.Shrink(ctx, plan, c.Tries, func(p *rig.Plan) bool {
+			r, err := rig.Run(ctx, p, rig.Options{Program: program})
+			return err == nil && r.Broke(v.Checker)
+		})
+		fmt.Fprintf(o.Out, "  %d faults of %d left after %d plays\n", len(small.Faults), len(plan.Faults), played)
+		if c.Keep != "" {
+			path := filepath.Join(c.Keep, plan.Name+".toml")
+			if err := cli.WriteTo(path, func(w io.Writer) error { _, err := io.WriteString(w, small.Format()); return err }); err != nil {
+				return err
+			}
+			fmt.Fprintln(o.Out, "  kept as", path)
+		}
+	}
+	fmt.Fprintf(o.Out, "%d plans, %d failed, %d not judged by time, %.1f minutes\n", c.Random, failed, untimed, time.Since(began).Minutes())
+	if failed > 0 {
+		return errMistaken
+	}
+	return nil
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -151,7 +151,7 @@
 	if o.Ready != nil {
 		o.Ready(ln.Addr().String())
 	}
-	clients := &standin.Clients{Base: "http://" + ln.Addr().String(), Classes: classes(app), Rate: o.Rate, Seed: o.Seed, Ledger: s.ledger}
+	clients := &standin.Clients{Address: ln.Addr().String(), Classes: classes(app), Rate: o.Rate, Seed: o.Seed, Ledger: s.ledger}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -182,11 +182,15 @@
 
 func (s *stage) startServers() error {
 	rng := rand.New(rand.NewPCG(s.Seed, 1))
+	var witness standin.Witness
+	if s.ledger != nil {
+		witness = s.ledger
+	}
 	var entries []standin.Entry
 	for i := range servers {
 		cfg := standin.ServerConfig{Name: fmt.Sprintf("web-%02d", i), Zone: string(rune('a' + i%zones)), Cell: i / 6, Kind: "c2-fast", Cores: 2,
 			Speed: 1.5 + 0.6*rng.Float64(), Queue: 8, ColdFrom: coldFrom, ColdTime: coldTime, CrowdedFrom: 5, Crowding: 0.05,
-			OverloadFactor: 3, OverloadTime: time.Second, DrainGrace: 2 * time.Second, Ledger: s.ledger,
+			OverloadFactor: 3, OverloadTime: time.Second, DrainGrace: 2 * time.Second, Witness: witness,
 			Work: func(class, id string) time.Duration { return standin.Lognormal(work[class], 0.6, id) }}
 		if i%5 >= 3 {
 			cfg.Kind, cfg.Cores, cfg.Speed, cfg.Queue = "c4-slow", 4, 0.77+0.23*rng.Float64(), 16
--- /dev/null
+++ b/internal/rig/fleet.go
@@ -0,0 +1,571 @@
+package rig
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"indigotack/decide"
+	"indigotack/internal/clock"
+	"indigotack/internal/standin"
+)
+
+const (
+	kind         = "std"                  // of all servers
+	readyTime    = 30 * time.Second       // for a node to get ready
+	endTime      = 15 * time.Second       // for a node to end after SIGTERM
+	sampleTime   = 250 * time.Millisecond // between looks at processes
+	frontNotice  = 300 * time.Millisecond // after SIGTERM clients are still sent to a node
+	maxLogLine   = 400
+	stopWatching = 2 * time.Second
+)
+
+// fleet is all processes of a plan that is played.
+type fleet struct {
+	ctx      context.Context
+	plan     *Plan
+	program  string // the rig's own choice of the node's program
+	dir      string
+	extra    func(node string) []string // environment of the nodes; may be nil
+	log      *recorder
+	starter  *starter
+	network  *network
+	registry *registry
+	tellings *tellings
+	client   *http.Client
+	nodes    []*node
+	servers  []*server
+	front    *front
+	peers    sync.Map // addresses under which servers see nodes, to their names
+	ending   atomic.Bool
+}
+
+// actor does things to one process one after another, without holding up the timetable.
+type actor struct{ jobs chan func() }
+
+func newActor(all *sync.WaitGroup) actor {
+	a := actor{jobs: make(chan func(), 2*maxFaults)}
+	all.Go(func() {
+		for f := range a.jobs {
+			f()
+		}
+	})
+	return a
+}
+
+// node is one node over its runs.
+type node struct {
+	actor
+	of   *fleet
+	i    int
+	name string
+	dir  string
+
+	mu     sync.Mutex
+	run    *process
+	offset time.Duration // of its wall clock
+	freed  func()        // ends its starving
+	out    *os.File      // its log
+}
+
+// server is one server over its runs.
+type server struct {
+	actor
+	of   *fleet
+	j    int
+	name string
+
+	mu    sync.Mutex
+	run   *process
+	since int64 // Unix time in ms of its start; 0: long ago
+	order serverOrder
+	ready chan struct{}
+}
+
+// front is where clients find out which nodes take requests.
+type front struct {
+	mu      sync.Mutex
+	offered []string // addresses
+}
+
+func (f *front) offer(address string, on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	kept := f.offered[:0:0]
+	for _, one := range f.offered {
+		if one != address {
+			kept = append(kept, one)
+		}
+	}
+	if f.offered = kept; on {
+		f.offered = append(f.offered, address)
+	}
+}
+
+func (f *front) pick(u float64) (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.offered) == 0 {
+		return "", false
+	}
+	return f.offered[int(u*float64(len(f.offered)))], true
+}
+
+// file writes a node's file.
+func (n *node) file() error {
+	p, k := n.of.plan, n.of.network.block
+	var b strings.Builder
+	line := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
+	line("version = 1\nname = %q\n[listen]\naddress = %q\n[limits]\nmemory_mb = 192\ndescriptors = 1024", n.name, k.nodeAt(n.i))
+	v := p.Servers
+	line("[servers]\ndiscovery = %q\ncold_from = %v\ncold_time = %q\noverload_factor = %v\noverload_time = %q\ndrain_grace = %q",
+		k.discoveryAt(n.i), v.ColdFrom, v.ColdTime, v.OverloadFactor, v.OverloadTime, v.DrainGrace)
+	line("[fleet]\nnodes = %d\nnumber = %d\nzone = %q\nkinds = [%q]\n[timeouts]\nidle = %q", p.Nodes, n.i, p.zone(n.name), kind, p.Idle)
+	for _, c := range p.Classes {
+		line("[[class]]\nname = %q\nworth = %v\naim = %q\ndeadline = %q\neffect = %q", c.Name, c.Worth, c.Aim, c.Deadline, effectWord(c.Effect))
+		if c.Effect == decide.Keyed {
+			line("key = \"header:Idempotency-Key\"\nkey_scope = \"zone\"\ndedup_window = %q", c.Dedup)
+		}
+	}
+	for _, c := range p.Classes {
+		methods := `["GET"]`
+		if c.Effect != decide.Safe {
+			methods = `["POST"]`
+		}
+		line("[[route]]\nprefix = %q\nmethods = %s\nclass = %q", "/"+c.Name, methods, c.Name)
+	}
+	return os.WriteFile(filepath.Join(n.dir, "app.toml"), []byte(b.String()), 0o600)
+}
+
+// start starts a node and has it offered to clients once it is ready.
+func (n *node) start() error {
+	f := n.of
+	program := f.program
+	if len(f.plan.Programs) > 0 {
+		program = f.plan.Programs[n.i%len(f.plan.Programs)]
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	cmd := f.command(program, "-app", "app.toml")
+	cmd.Dir = n.dir
+	cmd.Env = append(os.Environ(), clock.Variable+"="+n.offset.String())
+	if f.extra != nil {
+		cmd.Env = append(cmd.Env, f.extra(n.name)...)
+	}
+	run, err := f.starter.launch(cmd, false, nil, n.logged, n.ended)
+	if err != nil {
+		return err
+	}
+	n.run = run
+	f.log.note(Event{What: Up, Node: n.name, N: float64(run.id())})
+	go n.awaitReady(run)
+	return nil
+}
+
+func (n *node) awaitReady(run *process) {
+	url := "http://" + n.of.network.block.nodeAt(n.i) + "/health/ready"
+	for until := time.Now().Add(readyTime); time.Now().Before(until); {
+		if resp, err := n.of.client.Get(url); err == nil {
+			io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				n.of.log.note(Event{What: Ready, Node: n.name, N: float64(run.id())})
+				n.of.front.offer(n.of.network.block.seenAt(n.i), true)
+				return
+			}
+		}
+		if !pause(20*time.Millisecond, run.ended) || n.of.ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// logged takes a line that the node has written.
+func (n *node) logged(line []byte) {
+	n.mu.Lock()
+	if n.out != nil {
+		n.out.Write(append(bytes.Clone(line), '\n')) // a log that can't be kept is not worth the run
+	}
+	n.mu.Unlock()
+	if bytes.Contains(line, []byte("level=INFO")) || bytes.Contains(line, []byte("level=DEBUG")) {
+		return
+	}
+	n.of.log.note(Event{What: Logged, Node: n.name, Text: string(line[:min(len(line), maxLogLine)])})
+}
+
+// ended hears that a run is over. Clients notice later.
+func (n *node) ended(run *process) {
+	how := run.state.String()
+	if !run.expected() {
+		how = "unasked: " + how
+	}
+	n.of.log.note(Event{What: Down, Node: n.name, Text: how, N: float64(run.id())})
+	pause(n.of.plan.Notice, n.of.ctx.Done())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.run == run {
+		n.of.front.offer(n.of.network.block.seenAt(n.i), false)
+	}
+}
+
+// signal orders the node's present run something.
+func (n *node) signal(sig syscall.Signal) {
+	n.mu.Lock()
+	run := n.run
+	n.mu.Unlock()
+	n.of.log.note(Event{What: Ordered, Node: n.name, Text: sig.String(), N: float64(run.id())})
+	if err := run.order(sig); err != nil {
+		n.of.log.note(Event{What: Logged, Node: n.name, Text: "signal: " + err.Error()})
+	}
+	if sig == syscall.SIGTERM {
+		time.AfterFunc(frontNotice, func() {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			if n.run == run {
+				n.of.front.offer(n.of.network.block.seenAt(n.i), false)
+			}
+		})
+	}
+}
+
+// again waits until the run has ended, and starts the next.
+func (n *node) again(state string) {
+	n.mu.Lock()
+	run := n.run
+	n.mu.Unlock()
+	if !pause(endTime, run.ended) { // ended
+		err := tamper(filepath.Join(n.dir, "state"), filepath.Join(n.dir, "older"), state)
+		if err == nil {
+			err = n.start()
+		}
+		if err == nil && state == StateFull {
+			n.mu.Lock()
+			limit := unix.Rlimit{Cur: fullAt, Max: unix.RLIM_INFINITY}
+			err = unix.Prlimit(n.run.id(), unix.RLIMIT_FSIZE, &limit, nil)
+			n.mu.Unlock()
+		}
+		if err != nil {
+			n.of.log.note(Event{What: Down, Node: n.name, Text: "unasked: " + err.Error()})
+		}
+		return
+	}
+	run.end()
+	n.of.log.note(Event{What: Down, Node: n.name, Text: "unasked: did not end after SIGTERM and was killed"})
+	if err := n.start(); err != nil {
+		n.of.log.note(Event{What: Down, Node: n.name, Text: "unasked: " + err.Error()})
+	}
+}
+
+func (s *server) entry(status string) standin.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.of.plan.Servers
+	return standin.Entry{Name: s.name, Address: s.of.network.block.serverAt(s.j), Zone: s.of.plan.zone(s.name), Kind: kind, Status: status,
+		Weight: p.Speed * float64(p.Cores), SinceMS: s.since}
+}
+
+func (s *server) list(status string) {
+	s.of.log.note(Event{What: Listed, Server: s.name, Text: status})
+	s.of.registry.Set(s.entry(status))
+}
+
+// start starts the server and waits until it listens.
+func (s *server) start() error {
+	f := s.of
+	cmd, err := helper(f.ctx, roleServer)
+	if err != nil {
+		return err
+	}
+	work := map[string]time.Duration{}
+	for _, c := range f.plan.Classes {
+		work[c.Name] = c.Work
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ready = make(chan struct{})
+	if s.run, err = f.starter.launch(cmd, true, s.event, s.logged, s.ended); err != nil {
+		return err
+	}
+	f.log.note(Event{What: Up, Server: s.name, N: float64(s.run.id())})
+	task := serverTask{Name: s.name, Zone: f.plan.zone(s.name), Listen: f.network.block.serverAt(s.j), Plan: f.plan.Servers, Seed: f.plan.Seed, Work: work, StartedMS: s.since}
+	if err := json.NewEncoder(s.run.stdin).Encode(task); err != nil {
+		return fmt.Errorf("telling %s its task: %w", s.name, err)
+	}
+	select {
+	case <-s.ready:
+		return nil
+	case <-s.run.ended:
+		return fmt.Errorf("%s ended: %v", s.name, s.run.state)
+	case <-time.After(readyTime):
+		return fmt.Errorf("%s does not get ready in %v", s.name, readyTime)
+	}
+}
+
+// event takes what the server has seen.
+func (s *server) event(line []byte) {
+	var e Event
+	if err := json.Unmarshal(line, &e); err != nil {
+		s.logged(line)
+		return
+	}
+	if e.What == Ready {
+		close(s.ready)
+		return
+	}
+	if e.At -= s.of.log.zero; e.Peer != "" {
+		if from, ok := s.of.peers.Load(e.Peer); ok {
+			e.Node = from.(string)
+		}
+	}
+	s.of.log.add(e)
+}
+
+func (s *server) logged(line []byte) {
+	s.of.log.note(Event{What: Logged, Server: s.name, Text: string(line[:min(len(line), maxLogLine)])})
+}
+
+func (s *server) ended(run *process) {
+	how := run.state.String()
+	if !run.expected() && !s.of.ending.Load() {
+		how = "unasked: " + how
+	}
+	s.of.log.note(Event{What: Down, Server: s.name, Text: how, N: float64(run.id())})
+}
+
+// tell changes what is wrong with the server.
+func (s *server) tell(change func(*serverOrder)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if change(&s.order); s.order.Slow == 0 {
+		s.order.Slow = 1
+	}
+	json.NewEncoder(s.run.stdin).Encode(s.order) // fails where the server has been killed, which makes it as new
+}
+
+func (s *server) signal(sig syscall.Signal) {
+	s.mu.Lock()
+	run := s.run
+	s.mu.Unlock()
+	s.of.log.note(Event{What: Ordered, Server: s.name, Text: sig.String(), N: float64(run.id())})
+	if err := run.order(sig); err != nil {
+		s.logged([]byte("signal: " + err.Error()))
+	}
+	if sig == syscall.SIGKILL {
+		<-run.ended
+	}
+}
+
+// again starts the server anew, cold, and has it listed.
+func (s *server) again() {
+	s.mu.Lock()
+	s.since, s.order = time.Now().UnixMilli(), serverOrder{}
+	s.mu.Unlock()
+	if err := s.start(); err != nil {
+		s.of.log.note(Event{What: Down, Server: s.name, Text: "unasked: " + err.Error()})
+		return
+	}
+	s.list("ready")
+}
+
+// do carries out one step of the timetable.
+func (f *fleet) do(s Step) {
+	what := FaultOn
+	if s.Over {
+		what = FaultOff
+	}
+	f.log.note(Event{What: what, N: float64(s.Number), Text: s.String()})
+	switch s.Fault.What {
+	case FaultLink, FaultPartition:
+		f.network.put(s.Number, s.Fault, !s.Over)
+		return
+	case FaultTorn:
+		f.registry.Tear(!s.Over)
+		return
+	}
+	for _, name := range s.Targets {
+		for _, n := range f.nodes {
+			if n.name == name {
+				n.jobs <- func() { f.toNode(n, s.Fault, s.Over) }
+			}
+		}
+		for _, v := range f.servers {
+			if v.name == name {
+				v.jobs <- func() { f.toServer(v, s.Fault, s.Over) }
+			}
+		}
+	}
+}
+
+func (f *fleet) toNode(n *node, fault *Fault, over bool) {
+	switch fault.What {
+	case FaultKill:
+		if over {
+			n.again(fault.State)
+			return
+		}
+		n.signal(syscall.SIGKILL)
+	case FaultTerm:
+		if over {
+			n.again(fault.State)
+			return
+		}
+		n.signal(syscall.SIGTERM)
+	case FaultStop:
+		if over {
+			n.signal(syscall.SIGCONT)
+			return
+		}
+		n.signal(syscall.SIGSTOP)
+	case FaultReload:
+		n.signal(syscall.SIGHUP)
+	case FaultClock:
+		n.mu.Lock()
+		if n.offset = fault.Offset; over {
+			n.offset = 0
+		}
+		n.mu.Unlock()
+		n.signal(syscall.SIGTERM)
+		n.again(StateSame)
+	case FaultStarve:
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.freed != nil {
+			n.freed()
+			n.freed = nil
+		}
+		if !over {
+			freed, err := f.starter.starve(f.ctx, n.run.id(), int(fault.Factor))
+			if err != nil {
+				f.log.note(Event{What: Logged, Node: n.name, Text: "starving it: " + err.Error()})
+				return
+			}
+			n.freed = freed
+		}
+	}
+}
+
+func (f *fleet) toServer(v *server, fault *Fault, over bool) {
+	switch fault.What {
+	case FaultKill:
+		if over {
+			v.again()
+			return
+		}
+		v.signal(syscall.SIGKILL)
+		v.mu.Lock()
+		run := v.run
+		v.mu.Unlock()
+		time.AfterFunc(f.plan.Servers.ListDelay, func() {
+			v.mu.Lock()
+			same := v.run == run
+			v.mu.Unlock()
+			if same && !f.ending.Load() {
+				v.list("gone")
+			}
+		})
+	case FaultStop:
+		if over {
+			v.signal(syscall.SIGCONT)
+			return
+		}
+		v.signal(syscall.SIGSTOP)
+	case FaultDrain:
+		if !over {
+			v.list("draining")
+			return
+		}
+		v.list("gone")
+		pause(frontNotice, f.ctx.Done())
+		v.signal(syscall.SIGKILL)
+	case FaultSlow:
+		v.tell(func(o *serverOrder) {
+			if o.Slow = fault.Factor; over {
+				o.Slow = 1
+			}
+		})
+	case FaultFail:
+		v.tell(func(o *serverOrder) {
+			if o.Fail = fault.Part; over {
+				o.Fail = 0
+			}
+		})
+	case FaultHang:
+		v.tell(func(o *serverOrder) { o.Hang = !over })
+	}
+}
+
+// sample notes what processes use, until end is closed.
+func (f *fleet) sample(end <-chan struct{}) {
+	for pause(sampleTime, end) {
+		f.look()
+	}
+}
+
+func (f *fleet) look() {
+	for _, n := range f.nodes {
+		n.mu.Lock()
+		run := n.run
+		n.mu.Unlock()
+		if run == nil {
+			continue
+		}
+		if fds, mb, err := usage(run.id()); err == nil {
+			f.log.note(Event{What: Usage, Node: n.name, N: float64(fds), Most: mb, Text: fmt.Sprint(run.id())})
+		}
+	}
+}
+
+// stop ends all nodes in order, then the servers.
+func (f *fleet) stop() error {
+	f.ending.Store(true)
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	var failed error
+	for _, n := range f.nodes {
+		n.mu.Lock()
+		run := n.run
+		n.mu.Unlock()
+		if run == nil {
+			continue
+		}
+		all.Go(func() {
+			if n.freed != nil {
+				n.freed()
+			}
+			run.order(syscall.SIGCONT)
+			n.signal(syscall.SIGTERM)
+			if !pause(endTime, run.ended) {
+				return
+			}
+			run.end()
+			f.log.note(Event{What: Down, Node: n.name, Text: "unasked: did not end after SIGTERM and was killed"})
+			mu.Lock()
+			failed = errors.Join(failed, fmt.Errorf("%s did not end", n.name))
+			mu.Unlock()
+		})
+	}
+	all.Wait()
+	for _, v := range f.servers {
+		v.mu.Lock()
+		run := v.run
+		v.mu.Unlock()
+		if run != nil {
+			all.Go(run.end)
+		}
+	}
+	all.Wait()
+	return failed
+}
--- /dev/null
+++ b/internal/rig/history.go
@@ -0,0 +1,150 @@
+package rig
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// What can stand in a history. Times are nanoseconds of the rig's one clock
+// since its start, by the machine's monotonic clock, which all processes on it
+// share.
+const (
+	Asked       = "asked"       // a client sends a request: ID, Class, Node, Peer
+	Answered    = "answered"    // it has its answer, or goes without: ID, Class, Node, Text (how), N (seconds that it took)
+	SpokeTwice  = "twice"       // a client got more bytes after a whole answer: ID, Node
+	Unconnected = "unconnected" // a relay could not reach what it stands before: Node or Server, Peer
+	Began       = "began"       // a request's last byte has come to a server: ID, Server, Node, N (number of the attempt there)
+	Ran         = "ran"         // it is carried out: ID, Server
+	Ended       = "ended"       // the server knows that the attempt is over: ID, Server, N
+	Cold        = "cold"        // a cold server was sent N within its window, Most being what it bears: Server
+	Told        = "told"        // a node has been written a server's state: Node, Server, Text
+	Listed      = "listed"      // discovery has a new state of a server: Server, Text
+	Up          = "up"          // a process has started: Node or Server, N (its id)
+	Ready       = "ready"       // a node has answered that it is ready: Node
+	Ordered     = "ordered"     // a process was sent a signal: Node or Server, Text
+	Down        = "down"        // a process has ended: Node or Server, Text (how)
+	FaultOn     = "fault"       // N (its number), Text
+	FaultOff    = "lifted"      // N
+	Logged      = "logged"      // a node's log line of weight: Node, Text
+	Usage       = "usage"       // Node, N (descriptors), Most (resident MB)
+	Late        = "late"        // a process of the rig's own woke so late: N (seconds), Server if it was a server's
+	Phase       = "phase"       // Text: load, quiet, end
+)
+
+// Event is one line of a history.
+type Event struct {
+	At     int64   `json:"t"` // nanoseconds
+	What   string  `json:"what"`
+	Node   string  `json:"node,omitempty"`
+	Server string  `json:"server,omitempty"`
+	ID     string  `json:"id,omitempty"`
+	Class  string  `json:"class,omitempty"`
+	Peer   string  `json:"peer,omitempty"`
+	Text   string  `json:"text,omitempty"`
+	N      float64 `json:"n,omitempty"`
+	Most   float64 `json:"most,omitempty"`
+}
+
+// Time is when it happened, from the rig's start on.
+func (e *Event) Time() time.Duration { return time.Duration(e.At) }
+
+// maxEvents bounds a history; a plan that would need more is refused before it starts.
+const maxEvents = 5_000_000
+
+// monotonic is the machine's clock that all its processes read alike.
+func monotonic() int64 {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &t); err != nil {
+		return 0 // there is no machine without this clock
+	}
+	return t.Nano()
+}
+
+// recorder collects events while a plan is played.
+type recorder struct {
+	zero int64
+
+	mu      sync.Mutex
+	events  []Event
+	dropped int
+}
+
+func newRecorder() *recorder { return &recorder{zero: monotonic()} }
+
+func (r *recorder) now() int64 { return monotonic() - r.zero }
+
+// note adds an event that happens now.
+func (r *recorder) note(e Event) {
+	e.At = r.now()
+	r.add(e)
+}
+
+// add adds an event with a time of its own.
+func (r *recorder) add(e Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.events) >= maxEvents {
+		r.dropped++
+		return
+	}
+	r.events = append(r.events, e)
+}
+
+// history is all events in the order in which they happened.
+func (r *recorder) history() []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := slices.Clone(r.events)
+	slices.SortStableFunc(all, func(a, b Event) int {
+		switch {
+		case a.At < b.At:
+			return -1
+		case a.At > b.At:
+			return 1
+		}
+		return 0
+	})
+	return all
+}
+
+// WriteHistory writes events as JSON, a line each.
+func WriteHistory(w io.Writer, events []Event) error {
+	b := bufio.NewWriter(w)
+	enc := json.NewEncoder(b)
+	for i := range events {
+		if err := enc.Encode(&events[i]); err != nil {
+			return err
+		}
+	}
+	return b.Flush()
+}
+
+// ReadHistory reads what WriteHistory wrote. A line that can't be read is an
+// error with its number.
+func ReadHistory(r io.Reader) ([]Event, error) {
+	var all []Event
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, 1<<20)
+	for n := 1; lines.Scan(); n++ {
+		var e Event
+		if err := json.Unmarshal(lines.Bytes(), &e); err != nil {
+			return nil, fmt.Errorf("line %d: %w", n, err)
+		}
+		if e.What == "" {
+			return nil, fmt.Errorf("line %d: %w", n, errors.New("no event"))
+		}
+		if len(all) >= maxEvents {
+			return nil, fmt.Errorf("line %d: over %d events", n, maxEvents)
+		}
+		all = append(all, e)
+	}
+	return all, lines.Err()
+}
--- /dev/null
+++ b/internal/rig/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package rig
+
+const raced = true
--- /dev/null
+++ b/internal/rig/run.go
@@ -0,0 +1,303 @@
+package rig
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"indigotack/decide"
+	"indigotack/internal/standin"
+)
+
+// Options of a rehearsal.
+type Options struct {
+	Program  string                     // path of the node's program
+	Dir      string                     // for the processes' files and logs and the history; "": a temporary one, removed at the end
+	Env      func(node string) []string // added to a node's environment; may be nil
+	Progress func(Progress)             // called about twice a second; may be nil
+}
+
+// Progress is how things stand.
+type Progress struct {
+	At, Of              time.Duration // of the load
+	Asked, InAim, Other int
+	Doing               string // the step that came last
+}
+
+// Run plays a plan with real processes and judges what happened. It ends
+// everything that it started, also when ctx ends; the result is then an error.
+func Run(ctx context.Context, p *Plan, o Options) (r *Report, err error) {
+	dir := o.Dir
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "indigotack-rig-"); err != nil {
+			return nil, err
+		}
+		defer os.RemoveAll(dir)
+	}
+	program, err := filepath.Abs(o.Program)
+	if err != nil {
+		return nil, err
+	}
+	inner, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f := &fleet{ctx: inner, plan: p, program: program, dir: dir, extra: o.Env, log: newRecorder(), starter: newStarter(), front: &front{},
+		client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	defer f.starter.close()
+	var actors sync.WaitGroup
+	defer actors.Wait()
+	if err := f.raise(&actors); err != nil {
+		return nil, errors.Join(err, f.lower())
+	}
+	err = f.play(ctx, o.Progress)
+	for _, n := range f.nodes {
+		close(n.jobs)
+	}
+	for _, v := range f.servers {
+		close(v.jobs)
+	}
+	actors.Wait()
+	stopErr := f.lower()
+	events := f.log.history()
+	if o.Dir != "" {
+		if file, e := os.Create(filepath.Join(dir, "history.jsonl")); e != nil {
+			err = errors.Join(err, e)
+		} else {
+			err = errors.Join(err, WriteHistory(file, events), file.Close())
+		}
+	}
+	if err != nil {
+		return nil, errors.Join(err, stopErr)
+	}
+	return Judge(p, events), nil
+}
+
+// command is one that ends with the rig's context.
+func (f *fleet) command(program string, args ...string) *exec.Cmd {
+	return exec.CommandContext(f.ctx, program, args...)
+}
+
+// raise starts network, discovery, servers and nodes, and waits until all are ready.
+func (f *fleet) raise(actors *sync.WaitGroup) (err error) {
+	f.tellings = newTellings(f.log.note)
+	if f.network, err = newNetwork(f.plan, f.through); err != nil {
+		return err
+	}
+	if f.registry, err = newRegistry(f.plan, f.network.block, f.tellings.wrote); err != nil {
+		return err
+	}
+	for j := range f.plan.Servers.Count {
+		f.servers = append(f.servers, &server{of: f, j: j, name: serverName(j), actor: newActor(actors)})
+	}
+	var entries []standin.Entry
+	var mu sync.Mutex
+	var failed error
+	var all sync.WaitGroup
+	for _, v := range f.servers {
+		entries = append(entries, v.entry("ready"))
+		all.Go(func() {
+			if err := v.start(); err != nil {
+				mu.Lock()
+				failed = errors.Join(failed, err)
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	if failed != nil {
+		f.close()
+		return failed
+	}
+	f.registry.Set(entries...)
+	for i := range f.plan.Nodes {
+		n := &node{of: f, i: i, name: nodeName(i), dir: filepath.Join(f.dir, nodeName(i)), actor: newActor(actors)}
+		f.nodes = append(f.nodes, n)
+		for _, dir := range []string{"state", "older"} {
+			if err := os.MkdirAll(filepath.Join(n.dir, dir), 0o700); err != nil {
+				f.close()
+				return err
+			}
+		}
+		if n.out, err = os.Create(filepath.Join(n.dir, "log")); err == nil {
+			err = n.file()
+		}
+		if err == nil {
+			err = n.start()
+		}
+		if err != nil {
+			f.close()
+			return err
+		}
+	}
+	return f.awaitAll()
+}
+
+// close lets the actors end where the plan is not played.
+func (f *fleet) close() {
+	for _, n := range f.nodes {
+		close(n.jobs)
+	}
+	for _, v := range f.servers {
+		close(v.jobs)
+	}
+}
+
+// awaitAll waits until every node takes requests, or has failed to: what is wrong is the checkers' to say.
+func (f *fleet) awaitAll() error {
+	for until := time.Now().Add(readyTime); time.Now().Before(until); {
+		f.front.mu.Lock()
+		ready := len(f.front.offered)
+		f.front.mu.Unlock()
+		running := 0
+		for _, n := range f.nodes {
+			select {
+			case <-n.run.ended:
+			default:
+				running++
+			}
+		}
+		if ready >= running {
+			return nil
+		}
+		if !pause(10*time.Millisecond, f.ctx.Done()) {
+			f.close()
+			return f.ctx.Err()
+		}
+	}
+	return nil
+}
+
+// through hears of connections at relays.
+func (f *fleet) through(l *link, e relayEvent) {
+	switch {
+	case e.Conn == nil && l.from == Clients:
+		f.log.note(Event{What: Unconnected, Node: l.to, Peer: e.Peer})
+	case e.Conn == nil:
+	case l.to == Discovery:
+		f.tellings.connected(e.Local, e.Conn)
+	case l.from != Clients:
+		f.peers.Store(e.Local, l.from)
+	}
+}
+
+// play sends the load and carries out the timetable.
+func (f *fleet) play(ctx context.Context, progress func(Progress)) error {
+	p := f.plan
+	f.look()
+	for _, n := range f.nodes {
+		if err := copyTree(filepath.Join(n.dir, "state"), filepath.Join(n.dir, "older")); err != nil {
+			return fmt.Errorf("copying the state of %s: %w", n.name, err)
+		}
+	}
+	clients := &standin.Clients{Rate: p.Rate, Seed: p.Seed, Patience: max(p.Patience, time.Millisecond), Classes: p.clientClasses(),
+		Pick: func(rng *rand.Rand) (string, bool) { return f.front.pick(rng.Float64()) }, Told: f.clientEvent}
+	end := make(chan struct{})
+	var watchers sync.WaitGroup
+	defer watchers.Wait()
+	defer close(end)
+	watchers.Go(func() { f.sample(end) })
+	watchers.Go(func() {
+		watchLateness(end, func(late time.Duration) { f.log.note(Event{What: Late, N: late.Seconds()}) })
+	})
+	f.log.note(Event{What: Phase, Text: "load"})
+	began := time.Now()
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		clients.Run(ctx, p.Length)
+	}()
+	steps, doing := p.Timetable(), ""
+	tick := time.NewTicker(500 * time.Millisecond)
+	defer tick.Stop()
+	for loaded := true; loaded || len(steps) > 0; {
+		next := time.Hour
+		if len(steps) > 0 {
+			next = time.Until(began.Add(steps[0].At))
+		}
+		timer := time.NewTimer(next)
+		select {
+		case <-sent:
+			loaded, sent = false, nil
+			f.log.note(Event{What: Phase, Text: "quiet"})
+		case <-timer.C:
+			f.do(steps[0])
+			doing, steps = steps[0].String(), steps[1:]
+		case <-tick.C:
+			if progress != nil {
+				at := Progress{At: min(time.Since(began), p.Length), Of: p.Length, Doing: doing}
+				results, _ := clients.Results()
+				for _, r := range results {
+					at.Asked, at.InAim, at.Other = at.Asked+r.Asked, at.InAim+r.InAim, at.Other+r.Asked-r.InAim
+				}
+				progress(at)
+			}
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		}
+		timer.Stop()
+	}
+	if !pause(p.Cool, ctx.Done()) {
+		return ctx.Err()
+	}
+	f.look()
+	f.log.note(Event{What: Phase, Text: "end"})
+	return nil
+}
+
+// lower ends everything.
+func (f *fleet) lower() error {
+	err := f.stop()
+	for _, n := range f.nodes {
+		n.mu.Lock()
+		if n.out != nil {
+			n.out.Close()
+			n.out = nil
+		}
+		n.mu.Unlock()
+	}
+	if f.registry != nil {
+		f.registry.close() // its connections are the relays', which end below
+	}
+	if f.network != nil {
+		f.network.close()
+	}
+	return err
+}
+
+func (p *Plan) clientClasses() []standin.Class {
+	var all []standin.Class
+	for _, c := range p.Classes {
+		one := standin.Class{Name: c.Name, Share: c.Share, Method: http.MethodGet, Path: "/" + c.Name, Aim: c.Aim,
+			Kind: standin.Kind{Effect: c.Effect, Scope: decide.ScopeZone, Window: c.Dedup, Deadline: c.Deadline}}
+		if c.Effect != decide.Safe {
+			one.Method, one.Body, one.Keyed = http.MethodPost, 400, c.Effect == decide.Keyed
+		}
+		all = append(all, one)
+	}
+	return all
+}
+
+// clientEvent notes what clients do and see.
+func (f *fleet) clientEvent(e standin.ClientEvent) {
+	node := ""
+	for i := range f.nodes {
+		if f.network.block.seenAt(i) == e.To {
+			node = nodeName(i)
+		}
+	}
+	switch e.What {
+	case standin.ClientAsks:
+		f.log.note(Event{What: Asked, ID: e.ID, Class: e.Class, Node: node, Peer: e.From})
+	case standin.ClientAnswered:
+		f.log.note(Event{What: Answered, ID: e.ID, Class: e.Class, Node: node, Text: e.How.String(), N: e.Took.Seconds()})
+	case standin.ClientTwice:
+		f.log.note(Event{What: SpokeTwice, ID: e.ID, Node: node})
+	}
+}
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -32,6 +32,16 @@
 	Deadline time.Duration
 }
 
+// Witness hears what a server sees.
+type Witness interface {
+	Begin(id, from string, now time.Time) (number int) // an attempt's last byte has come, from that address; the number is for End
+	Ran(id, zone string, cell int, now time.Time)      // it is carried out, so that its effect counts
+	End(id string, number int, now time.Time)          // the attempt is known to be over: answered, or its connection closed
+	Drained(server string, since, grace time.Duration) // an attempt came so long after the server was told to drain
+	Watched()                                          // a draining server was watched to its end or the run's
+	Cold(server string, sent, most float64)            // what a cold server was sent within a window
+}
+
 // Ledger writes down what servers and clients see, and checks the rules. Times
 // are of the caller's one clock. It holds what is open and what has run for as
 // long as a repeat could matter.
@@ -83,7 +93,7 @@
 }
 
 // Begin notes an attempt whose last byte has come to a server. The number is for End.
-func (l *Ledger) Begin(id string, now time.Time) (number int) {
+func (l *Ledger) Begin(id, _ string, now time.Time) (number int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.requests[id]
@@ -149,10 +159,23 @@
 	Served  Answer = iota
 	Refused        // another try is harmless
 	Failed
-	Lost    // no whole answer
-	Garbled // an answer that no server made for it
+	Lost      // no whole answer
+	Garbled   // an answer that no server made for it
+	Unreached // the connection never came up
+	Crossed   // the connection was closed as the request set out on it; it is sent anew, as another one
 )
 
+// Withdrawn notes that a request crossed with the end of its connection, which
+// is sound as long as it was not read.
+func (l *Ledger) Withdrawn(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.requests[id]; r != nil {
+		l.check(OneAnswer, r.attempts == 0, "%q was sent on, and its connection then closed", id)
+		delete(l.requests, id)
+	}
+}
+
 // Answered notes a client's final answer, or its absence.
 func (l *Ledger) Answered(id string, a Answer, took time.Duration) {
 	l.mu.Lock()
@@ -206,5 +229,5 @@
 }
 
 func (a Answer) String() string {
-	return [...]string{"served", "refused", "failed", "lost", "garbled"}[a]
+	return [...]string{"served", "refused", "failed", "lost", "garbled", "unreached", "crossed"}[a]
 }
--- a/test.sh
+++ b/test.sh
@@ -15,3 +15,4 @@
 fuzz conf FuzzTree
 fuzz appconfig FuzzParse
 fuzz route FuzzClean
+fuzz rig FuzzPlan
