--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -74,6 +74,7 @@
 	name string
 	dir  string
 
+	held   int // faults that keep it down; the actor's
 	mu     sync.Mutex
 	run    *process
 	offset time.Duration // of its wall clock
@@ -88,6 +89,7 @@
 	j    int
 	name string
 
+	held  int // faults that keep it down; the actor's
 	mu    sync.Mutex
 	run   *process
 	since int64 // Unix time in ms of its start; 0: long ago
@@ -411,18 +413,19 @@
 
 func (f *fleet) toNode(n *node, fault *Fault, over bool) {
 	switch fault.What {
-	case FaultKill:
+	case FaultKill, FaultTerm:
+		// Of several faults that keep it down the last one to be over has it start again.
 		if over {
-			n.again(fault.State)
+			if n.held--; n.held == 0 {
+				n.again(fault.State)
+			}
 			return
 		}
-		n.signal(syscall.SIGKILL)
-	case FaultTerm:
-		if over {
-			n.again(fault.State)
-			return
+		if n.held++; fault.What == FaultKill {
+			n.signal(syscall.SIGKILL)
+		} else if n.held == 1 {
+			n.signal(syscall.SIGTERM)
 		}
-		n.signal(syscall.SIGTERM)
 	case FaultStop:
 		if over {
 			n.signal(syscall.SIGCONT)
@@ -437,8 +440,10 @@
 			n.offset = 0
 		}
 		n.mu.Unlock()
-		n.signal(syscall.SIGTERM)
-		n.again(StateSame)
+		if n.held == 0 {
+			n.signal(syscall.SIGTERM)
+			n.again(StateSame)
+		}
 	case FaultStarve:
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -461,7 +466,12 @@
 	switch fault.What {
 	case FaultKill:
 		if over {
-			v.again()
+			if v.held--; v.held == 0 {
+				v.again()
+			}
+			return
+		}
+		if v.held++; v.held > 1 {
 			return
 		}
 		v.signal(syscall.SIGKILL)
@@ -483,10 +493,14 @@
 		}
 		v.signal(syscall.SIGSTOP)
 	case FaultDrain:
+		if v.held > 0 {
+			return // it is down, and will be listed as it comes back
+		}
 		if !over {
 			v.list("draining")
 			return
 		}
+		v.held++ // for good
 		v.list("gone")
 		pause(frontNotice, f.ctx.Done())
 		v.signal(syscall.SIGKILL)
