Rig: nodes and servers share what they have in common; one tally, one way out of a run

Nodes and servers each had the same code for signals, the present run and notes of them: it is one unit now. Seconds and classes counted outcomes apart, runs were wound up in five places, relays were set up in two, a process's name at the detector was put together in four. Gone: fields and a method that nobody read. Clients' nodes are looked up, no longer searched for with each event; settled views are worked out once a node.

--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"os/signal"
@@ -15,7 +16,6 @@
 
 	"indigotack/internal/cli"
 	"indigotack/internal/peers"
-	"indigotack/internal/view"
 )
 
 type fleetCommand struct {
@@ -143,16 +143,16 @@
 		return
 	}
 	fmt.Fprintf(w, "%d views among %d nodes:\n", len(digests), len(all))
-	for _, d := range sortedKeys(digests) {
+	for _, d := range slices.Sorted(maps.Keys(digests)) {
 		fmt.Fprintf(w, "  %s: %s\n", d, strings.Join(digests[d], " "))
 	}
-	for _, name := range sortedKeys(names) {
+	for _, name := range slices.Sorted(maps.Keys(names)) {
 		by := map[string][]string{}
 		for _, s := range all {
 			how := "unknown"
 			if i := slices.IndexFunc(s.Members, func(m peers.Member) bool { return m.Name == name }); i >= 0 {
 				m := s.Members[i]
-				if how = m.State.String(); m.State <= view.Suspect {
+				if how = m.State.String(); m.State.Counts() {
 					how = fmt.Sprintf("counted, start %d", m.Start)
 				}
 			}
@@ -160,19 +160,10 @@
 		}
 		if len(by) > 1 {
 			fmt.Fprintf(w, "  %s:", name)
-			for _, how := range sortedKeys(by) {
+			for _, how := range slices.Sorted(maps.Keys(by)) {
 				fmt.Fprintf(w, " %s at %s;", how, strings.Join(by[how], " "))
 			}
 			fmt.Fprintln(w)
 		}
 	}
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -136,7 +136,7 @@
 		return err
 	}
 	c := memberlist.DefaultLANConfig()
-	c.Name = self.Name + nameMark + strconv.FormatUint(self.Start, 10)
+	c.Name = processName(self.Name, self.Start)
 	c.Transport, c.Logger = t, logger
 	c.BindAddr, c.BindPort = p.cfg.Listen.Addr().String(), int(p.cfg.Listen.Port())
 	c.AdvertiseAddr, c.AdvertisePort = p.cfg.Advertise.Addr().String(), int(p.cfg.Advertise.Port())
@@ -262,6 +262,11 @@
 	p.dirty = false // it is tried again with the next change
 }
 
+// processName is a process's at the detector, and among its words.
+func processName(name string, start uint64) string {
+	return name + nameMark + strconv.FormatUint(start, 10)
+}
+
 // word is what a process says of its view.
 type word struct {
 	Name   string      `json:"n"`
@@ -295,7 +300,7 @@
 // waitedFor tells whether a member that counts has an open view. The caller holds mu.
 func (p *Peers) waitedFor() bool {
 	for _, m := range p.view.Members() {
-		if m.State <= view.Suspect && p.heard[m.Name+nameMark+strconv.FormatUint(m.Start, 10)].open {
+		if m.State.Counts() && p.heard[processName(m.Name, m.Start)].open {
 			return true
 		}
 	}
@@ -305,7 +310,7 @@
 // pass queues a word for gossip, in place of an earlier one of that process.
 func (p *Peers) pass(w word) {
 	if text, err := json.Marshal(w); err == nil && len(text) <= maxMessage {
-		p.queue.QueueBroadcast(broadcast{w.Name + nameMark + strconv.FormatUint(w.Start, 10), text})
+		p.queue.QueueBroadcast(broadcast{processName(w.Name, w.Start), text})
 	}
 }
 
@@ -384,7 +389,7 @@
 
 // hear takes a word, once, and passes it on.
 func (p *Peers) hear(w word) {
-	key := w.Name + nameMark + strconv.FormatUint(w.Start, 10)
+	key := processName(w.Name, w.Start)
 	p.mu.Lock()
 	self := p.view.Self()
 	fresh := w.Seq > p.heard[key].seq && (w.Name != self.Name || w.Start != self.Start)
@@ -520,7 +525,7 @@
 		return nil, false
 	}
 	for _, m := range p.view.Members() {
-		if m.State <= view.Suspect && m.Name != p.cfg.Name {
+		if m.State.Counts() && m.Name != p.cfg.Name {
 			some = append(some, target{m.Name, m.Start, m.Address})
 		}
 	}
@@ -553,13 +558,18 @@
 	for _, t := range all {
 		each.Go(func() {
 			listens, refused := p.knock(t.address)
-			if refused && t.name != "" {
-				p.do(func(v *view.View, now view.Time) []view.Change { return v.Refused(now, t.name, t.start) })
-			}
-			if listens && t.name != "" {
-				p.do(func(v *view.View, now view.Time) []view.Change { return v.Answered(now, t.name, t.start) })
-			}
-			if listens && !p.counts(t.name) {
+			counts := false
+			p.do(func(v *view.View, now view.Time) (out []view.Change) {
+				switch { // of no member, where an address to join at was tried
+				case refused:
+					out = v.Refused(now, t.name, t.start)
+				case listens:
+					out = v.Answered(now, t.name, t.start)
+				}
+				counts = v.Counts(t.name)
+				return out
+			})
+			if listens && !counts {
 				p.list.Load().Join([]string{t.address}) // what fails is tried again
 			}
 		})
@@ -567,18 +577,6 @@
 	each.Wait()
 }
 
-// counts tells whether a member counts.
-func (p *Peers) counts(name string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, m := range p.view.Members() {
-		if m.Name == name {
-			return m.State <= view.Suspect
-		}
-	}
-	return false
-}
-
 // knock finds out whether anybody is at an address, or whether its machine
 // says that nobody is.
 func (p *Peers) knock(address string) (listens, refused bool) {
--- a/internal/rig/check.go
+++ b/internal/rig/check.go
@@ -66,15 +66,15 @@
 	end      int64
 	requests map[string]*requestLog
 	order    []*requestLog
-	away     map[string][]span            // times in which a node or server did not run, or stood still
-	stands   map[string][]span            // of these, those in which it stood still
-	starved  map[string][]span            // nodes short of CPU
-	wrong    map[[2]string][]span         // links with a fault
-	missed   map[string][]int64           // by client address: connections that a relay could not pass on
-	late     []span                       // the rig, or a server of its own, woke late: from when it should have
-	busy     map[int]bool                 // seconds that can't be judged by time
-	lastOver int64                        // when the last fault was over
-	told     map[[2]string][]telledStatus // by node and server
+	away     map[string][]span          // times in which a node or server did not run, or stood still
+	stands   map[string][]span          // of these, those in which it stood still
+	starved  map[string][]span          // nodes short of CPU
+	wrong    map[[2]string][]span       // links with a fault
+	missed   map[string][]int64         // by client address: connections that a relay could not pass on
+	late     []span                     // the rig, or a server of its own, woke late, or a process waited for a core
+	busy     map[int]bool               // seconds that can't be judged by time
+	lastOver int64                      // when the last fault was over
+	told     map[[2]string][]toldStatus // by node and server
 	views    map[string][]viewLog
 }
 
@@ -93,7 +93,7 @@
 	by       int64  // of a lateness: how much
 }
 
-type telledStatus struct {
+type toldStatus struct {
 	at     int64
 	status string
 }
@@ -109,6 +109,10 @@
 	begins         []attemptLog
 }
 
+func (r *requestLog) duration() time.Duration { return time.Duration(r.took * 1e9) }
+
+func (r *requestLog) inAim() bool { return r.duration() <= r.class.Aim }
+
 type attemptLog struct {
 	at     int64
 	server string
@@ -127,7 +131,7 @@
 // newHistory puts events together.
 func newHistory(p *Plan, events []Event) *History {
 	h := &History{Plan: p, Events: events, end: forever, quiet: forever, requests: map[string]*requestLog{}, away: map[string][]span{}, stands: map[string][]span{},
-		starved: map[string][]span{}, wrong: map[[2]string][]span{}, missed: map[string][]int64{}, busy: map[int]bool{}, told: map[[2]string][]telledStatus{}, views: map[string][]viewLog{}}
+		starved: map[string][]span{}, wrong: map[[2]string][]span{}, missed: map[string][]int64{}, busy: map[int]bool{}, told: map[[2]string][]toldStatus{}, views: map[string][]viewLog{}}
 	classes := map[string]*Class{}
 	for i := range p.Classes {
 		classes[p.Classes[i].Name] = &p.Classes[i]
@@ -174,7 +178,7 @@
 			h.late = append(h.late, span{from: e.At - max(int64(sampleTime), int64(e.N*1e9)), to: e.At, of: name, by: int64(e.N * 1e9)})
 		case Told:
 			key := [2]string{e.Node, e.Server}
-			h.told[key] = append(h.told[key], telledStatus{e.At, e.Text})
+			h.told[key] = append(h.told[key], toldStatus{e.At, e.Text})
 		case Ordered:
 			switch e.Text {
 			case "killed":
@@ -335,7 +339,7 @@
 			}
 		default:
 			allowed := r.class.Deadline + slack + h.lateness(r.asked, r.answered)
-			if took := time.Duration(r.took * 1e9); took > allowed && !h.untimed() && !h.excused(r) && !anyMeets(h.starved[r.node], r.asked, r.answered) {
+			if took := r.duration(); took > allowed && !h.untimed() && !h.excused(r) && !anyMeets(h.starved[r.node], r.asked, r.answered) {
 				f.add(r.node, r.answered, "%s (%s at %s) was %s after %v, deadline %v", r.id, r.class.Name, r.node, r.how, took.Round(time.Millisecond), r.class.Deadline)
 			}
 		}
@@ -602,33 +606,17 @@
 
 // Second is what became of the requests that were asked in one second of the load.
 type Second struct {
-	Asked, InAim, Late, Refused, Failed, Lost int
-	Busy                                      bool // the rig ran late then
+	Tally
+	Busy bool // the rig ran late then
 }
 
-// seconds sorts requests by when they were asked.
+// seconds sorts requests by when they were asked. One that crossed with the end
+// of its connection was asked anew.
 func (h *History) seconds() []Second {
 	all := make([]Second, max(1, int(math.Ceil(h.Plan.Length.Seconds()))))
 	for _, r := range h.order {
-		i := h.second(r.asked)
-		if i < 0 || i >= len(all) || r.how == standin.Crossed.String() {
-			continue
-		}
-		s := &all[i]
-		s.Asked++
-		switch r.how {
-		case standin.Served.String():
-			if time.Duration(r.took*1e9) <= r.class.Aim {
-				s.InAim++
-			} else {
-				s.Late++
-			}
-		case standin.Refused.String():
-			s.Refused++
-		case standin.Failed.String():
-			s.Failed++
-		default:
-			s.Lost++
+		if i := h.second(r.asked); i >= 0 && i < len(all) && r.how != standin.Crossed.String() {
+			all[i].count(r)
 		}
 	}
 	for i := range all {
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -24,14 +24,13 @@
 )
 
 const (
-	kind         = "std"                  // of all servers
-	readyTime    = 30 * time.Second       // for a node to get ready
-	endTime      = 15 * time.Second       // for a node to end after SIGTERM
-	viewTime     = 100 * time.Millisecond // between looks at a node's view
-	sampleTime   = 250 * time.Millisecond // between looks at processes
-	frontNotice  = 300 * time.Millisecond // after SIGTERM clients are still sent to a node
-	maxLogLine   = 400
-	stopWatching = 2 * time.Second
+	kind        = "std"                  // of all servers
+	readyTime   = 30 * time.Second       // for a node to get ready
+	endTime     = 15 * time.Second       // for a node to end after SIGTERM
+	viewTime    = 100 * time.Millisecond // between looks at a node's view
+	sampleTime  = 250 * time.Millisecond // between looks at processes
+	frontNotice = 300 * time.Millisecond // after SIGTERM clients are still sent to a node
+	maxLogLine  = 400
 )
 
 // fleet is all processes of a plan that is played.
@@ -50,7 +49,8 @@
 	nodes    []*node
 	servers  []*server
 	front    *front
-	peers    sync.Map // addresses under which servers see nodes, to their names
+	peers    sync.Map          // addresses under which servers see nodes, to their names
+	seen     map[string]string // addresses under which clients see nodes, to their names
 	ending   atomic.Bool
 	looking  sync.Mutex                       // held while processes are looked at
 	waits    map[int]map[string]time.Duration // of threads, by process
@@ -69,32 +69,74 @@
 	return a
 }
 
-// node is one node over its runs.
-type node struct {
+// unit is a node or a server over its runs.
+type unit struct {
 	actor
 	of   *fleet
-	i    int
 	name string
-	dir  string
+	as   Event // Node or Server is its name
+
+	held int // faults that keep it down; the actor's
+	mu   sync.Mutex
+	run  *process // guarded by mu, as what embeds it keeps beside it
+}
+
+func (f *fleet) unit(name string, as Event, actors *sync.WaitGroup) unit {
+	return unit{actor: newActor(actors), of: f, name: name, as: as}
+}
+
+// current is the present run; nil before the first.
+func (u *unit) current() *process {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.run
+}
+
+// note notes something of the unit.
+func (u *unit) note(what, text string, n float64) {
+	e := u.as
+	e.What, e.Text, e.N = what, text, n
+	u.of.log.note(e)
+}
+
+// failed notes an end that nobody asked for.
+func (u *unit) failed(why string) { u.note(Down, "unasked: "+why, 0) }
+
+// signal orders the present run something, and returns it.
+func (u *unit) signal(sig syscall.Signal) *process {
+	run := u.current()
+	u.note(Ordered, sig.String(), float64(run.id()))
+	if err := run.order(sig); err != nil {
+		u.note(Logged, "signal: "+err.Error(), 0)
+	}
+	return run
+}
+
+// stop has it stand still, or go on.
+func (u *unit) stop(over bool) {
+	if over {
+		u.signal(syscall.SIGCONT)
+	} else {
+		u.signal(syscall.SIGSTOP)
+	}
+}
+
+// node is one node.
+type node struct {
+	unit
+	i   int
+	dir string
 
-	held   int // faults that keep it down; the actor's
-	mu     sync.Mutex
-	run    *process
 	offset time.Duration // of its wall clock
 	freed  func()        // ends its starving
 	out    *os.File      // its log
 }
 
-// server is one server over its runs.
+// server is one server.
 type server struct {
-	actor
-	of   *fleet
-	j    int
-	name string
+	unit
+	j int
 
-	held  int // faults that keep it down; the actor's
-	mu    sync.Mutex
-	run   *process
 	since int64 // Unix time in ms of its start; 0: long ago
 	order serverOrder
 	ready chan struct{}
@@ -179,7 +221,7 @@
 		return err
 	}
 	n.run = run
-	f.log.note(Event{What: Up, Node: n.name, N: float64(run.id())})
+	n.note(Up, "", float64(run.id()))
 	go n.awaitReady(run)
 	return nil
 }
@@ -191,7 +233,7 @@
 			io.Copy(io.Discard, resp.Body)
 			resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
-				n.of.log.note(Event{What: Ready, Node: n.name, N: float64(run.id())})
+				n.note(Ready, "", float64(run.id()))
 				n.of.front.offer(n.of.network.block.seenAt(n.i), true)
 				return
 			}
@@ -212,7 +254,7 @@
 	if bytes.Contains(line, []byte("level=INFO")) || bytes.Contains(line, []byte("level=DEBUG")) {
 		return
 	}
-	n.of.log.note(Event{What: Logged, Node: n.name, Text: string(line[:min(len(line), maxLogLine)])})
+	n.note(Logged, string(line[:min(len(line), maxLogLine)]), 0)
 }
 
 // ended hears that a run is over. Clients notice later.
@@ -221,8 +263,13 @@
 	if !run.expected() {
 		how = "unasked: " + how
 	}
-	n.of.log.note(Event{What: Down, Node: n.name, Text: how, N: float64(run.id())})
+	n.note(Down, how, float64(run.id()))
 	pause(n.of.plan.Notice, n.of.ctx.Done())
+	n.withdraw(run)
+}
+
+// withdraw has clients no longer sent to the node, unless it has started again.
+func (n *node) withdraw(run *process) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.run == run {
@@ -230,51 +277,37 @@
 	}
 }
 
-// signal orders the node's present run something.
-func (n *node) signal(sig syscall.Signal) {
-	n.mu.Lock()
-	run := n.run
-	n.mu.Unlock()
-	n.of.log.note(Event{What: Ordered, Node: n.name, Text: sig.String(), N: float64(run.id())})
-	if err := run.order(sig); err != nil {
-		n.of.log.note(Event{What: Logged, Node: n.name, Text: "signal: " + err.Error()})
-	}
-	if sig == syscall.SIGTERM {
-		time.AfterFunc(frontNotice, func() {
-			n.mu.Lock()
-			defer n.mu.Unlock()
-			if n.run == run {
-				n.of.front.offer(n.of.network.block.seenAt(n.i), false)
-			}
-		})
+// term tells the node to end in order. Clients notice a moment later.
+func (n *node) term() {
+	run := n.signal(syscall.SIGTERM)
+	time.AfterFunc(frontNotice, func() { n.withdraw(run) })
+}
+
+// awaitEnd waits until a run that was told to end has, and kills it if it does not.
+func (n *node) awaitEnd(run *process) (inTime bool) {
+	if !pause(endTime, run.ended) {
+		return true
 	}
+	run.end()
+	n.failed("did not end after SIGTERM and was killed")
+	return false
 }
 
 // again waits until the run has ended, and starts the next.
 func (n *node) again(state string) {
-	n.mu.Lock()
-	run := n.run
-	n.mu.Unlock()
-	if !pause(endTime, run.ended) { // ended
-		err := tamper(filepath.Join(n.dir, "state"), filepath.Join(n.dir, "older"), state)
-		if err == nil {
-			err = n.start()
-		}
-		if err == nil && state == StateFull {
-			n.mu.Lock()
-			limit := unix.Rlimit{Cur: fullAt, Max: unix.RLIM_INFINITY}
-			err = unix.Prlimit(n.run.id(), unix.RLIMIT_FSIZE, &limit, nil)
-			n.mu.Unlock()
-		}
-		if err != nil {
-			n.of.log.note(Event{What: Down, Node: n.name, Text: "unasked: " + err.Error()})
-		}
-		return
+	if !n.awaitEnd(n.current()) {
+		state = StateSame
 	}
-	run.end()
-	n.of.log.note(Event{What: Down, Node: n.name, Text: "unasked: did not end after SIGTERM and was killed"})
-	if err := n.start(); err != nil {
-		n.of.log.note(Event{What: Down, Node: n.name, Text: "unasked: " + err.Error()})
+	err := tamper(filepath.Join(n.dir, "state"), filepath.Join(n.dir, "older"), state)
+	if err == nil {
+		err = n.start()
+	}
+	if err == nil && state == StateFull {
+		limit := unix.Rlimit{Cur: fullAt, Max: unix.RLIM_INFINITY}
+		err = unix.Prlimit(n.current().id(), unix.RLIMIT_FSIZE, &limit, nil)
+	}
+	if err != nil {
+		n.failed(err.Error())
 	}
 }
 
@@ -287,7 +320,7 @@
 }
 
 func (s *server) list(status string) {
-	s.of.log.note(Event{What: Listed, Server: s.name, Text: status})
+	s.note(Listed, status, 0)
 	s.of.registry.Set(s.entry(status))
 }
 
@@ -308,8 +341,8 @@
 	if s.run, err = f.starter.launch(cmd, true, s.event, s.logged, s.ended); err != nil {
 		return err
 	}
-	f.log.note(Event{What: Up, Server: s.name, N: float64(s.run.id())})
-	task := serverTask{Name: s.name, Zone: f.plan.zone(s.name), Listen: f.network.block.serverAt(s.j), Plan: f.plan.Servers, Seed: f.plan.Seed, Work: work, StartedMS: s.since}
+	s.note(Up, "", float64(s.run.id()))
+	task := serverTask{Name: s.name, Zone: f.plan.zone(s.name), Listen: f.network.block.serverAt(s.j), Plan: f.plan.Servers, Work: work, StartedMS: s.since}
 	if err := json.NewEncoder(s.run.stdin).Encode(task); err != nil {
 		return fmt.Errorf("telling %s its task: %w", s.name, err)
 	}
@@ -343,7 +376,7 @@
 }
 
 func (s *server) logged(line []byte) {
-	s.of.log.note(Event{What: Logged, Server: s.name, Text: string(line[:min(len(line), maxLogLine)])})
+	s.note(Logged, string(line[:min(len(line), maxLogLine)]), 0)
 }
 
 func (s *server) ended(run *process) {
@@ -351,7 +384,7 @@
 	if !run.expected() && !s.of.ending.Load() {
 		how = "unasked: " + how
 	}
-	s.of.log.note(Event{What: Down, Server: s.name, Text: how, N: float64(run.id())})
+	s.note(Down, how, float64(run.id()))
 }
 
 // tell changes what is wrong with the server.
@@ -364,17 +397,11 @@
 	json.NewEncoder(s.run.stdin).Encode(s.order) // fails where the server has been killed, which makes it as new
 }
 
-func (s *server) signal(sig syscall.Signal) {
-	s.mu.Lock()
-	run := s.run
-	s.mu.Unlock()
-	s.of.log.note(Event{What: Ordered, Server: s.name, Text: sig.String(), N: float64(run.id())})
-	if err := run.order(sig); err != nil {
-		s.logged([]byte("signal: " + err.Error()))
-	}
-	if sig == syscall.SIGKILL {
-		<-run.ended
-	}
+// kill ends the server, and returns the run that it was.
+func (s *server) kill() *process {
+	run := s.signal(syscall.SIGKILL)
+	<-run.ended
+	return run
 }
 
 // again starts the server anew, cold, and has it listed.
@@ -383,7 +410,7 @@
 	s.since, s.order = time.Now().UnixMilli(), serverOrder{}
 	s.mu.Unlock()
 	if err := s.start(); err != nil {
-		s.of.log.note(Event{What: Down, Server: s.name, Text: "unasked: " + err.Error()})
+		s.failed(err.Error())
 		return
 	}
 	s.list("ready")
@@ -439,14 +466,10 @@
 		if n.held++; fault.What == FaultKill {
 			n.signal(syscall.SIGKILL)
 		} else if n.held == 1 {
-			n.signal(syscall.SIGTERM)
+			n.term()
 		}
 	case FaultStop:
-		if over {
-			n.signal(syscall.SIGCONT)
-			return
-		}
-		n.signal(syscall.SIGSTOP)
+		n.stop(over)
 	case FaultReload:
 		n.signal(syscall.SIGHUP)
 	case FaultClock:
@@ -456,7 +479,7 @@
 		}
 		n.mu.Unlock()
 		if n.held == 0 {
-			n.signal(syscall.SIGTERM)
+			n.term()
 			n.again(StateSame)
 		}
 	case FaultStarve:
@@ -469,7 +492,7 @@
 		if !over {
 			freed, err := f.starter.starve(f.ctx, n.run.id(), int(fault.Factor))
 			if err != nil {
-				f.log.note(Event{What: Logged, Node: n.name, Text: "starving it: " + err.Error()})
+				n.note(Logged, "starving it: "+err.Error(), 0)
 				return
 			}
 			n.freed = freed
@@ -489,24 +512,14 @@
 		if v.held++; v.held > 1 {
 			return
 		}
-		v.signal(syscall.SIGKILL)
-		v.mu.Lock()
-		run := v.run
-		v.mu.Unlock()
+		run := v.kill()
 		time.AfterFunc(f.plan.Servers.ListDelay, func() {
-			v.mu.Lock()
-			same := v.run == run
-			v.mu.Unlock()
-			if same && !f.ending.Load() {
+			if v.current() == run && !f.ending.Load() {
 				v.list("gone")
 			}
 		})
 	case FaultStop:
-		if over {
-			v.signal(syscall.SIGCONT)
-			return
-		}
-		v.signal(syscall.SIGSTOP)
+		v.stop(over)
 	case FaultDrain:
 		if v.held > 0 {
 			return // it is down, and will be listed as it comes back
@@ -518,7 +531,7 @@
 		v.held++ // for good
 		v.list("gone")
 		pause(frontNotice, f.ctx.Done())
-		v.signal(syscall.SIGKILL)
+		v.kill()
 	case FaultSlow:
 		v.tell(func(o *serverOrder) {
 			if o.Slow = fault.Factor; over {
@@ -585,22 +598,17 @@
 	defer f.looking.Unlock()
 	// What waits for a core, is late through no fault of its own.
 	for _, v := range f.servers {
-		v.mu.Lock()
-		run := v.run
-		v.mu.Unlock()
-		if run != nil {
-			f.wait(Event{Server: v.name}, run.id())
+		if run := v.current(); run != nil {
+			f.wait(v.as, run.id())
 		}
 	}
 	f.wait(Event{}, os.Getpid())
 	for _, n := range f.nodes {
-		n.mu.Lock()
-		run := n.run
-		n.mu.Unlock()
+		run := n.current()
 		if run == nil {
 			continue
 		}
-		f.wait(Event{Node: n.name}, run.id())
+		f.wait(n.as, run.id())
 		if fds, mb, err := usage(run.id()); err == nil {
 			f.log.note(Event{What: Usage, Node: n.name, N: float64(fds), Most: mb, Text: fmt.Sprint(run.id())})
 		}
@@ -629,9 +637,7 @@
 	var mu sync.Mutex
 	var failed error
 	for _, n := range f.nodes {
-		n.mu.Lock()
-		run := n.run
-		n.mu.Unlock()
+		run := n.current()
 		if run == nil {
 			continue
 		}
@@ -640,23 +646,17 @@
 				n.freed()
 			}
 			run.order(syscall.SIGCONT)
-			n.signal(syscall.SIGTERM)
-			if !pause(endTime, run.ended) {
-				return
+			n.term()
+			if !n.awaitEnd(run) {
+				mu.Lock()
+				failed = errors.Join(failed, fmt.Errorf("%s did not end", n.name))
+				mu.Unlock()
 			}
-			run.end()
-			f.log.note(Event{What: Down, Node: n.name, Text: "unasked: did not end after SIGTERM and was killed"})
-			mu.Lock()
-			failed = errors.Join(failed, fmt.Errorf("%s did not end", n.name))
-			mu.Unlock()
 		})
 	}
 	all.Wait()
 	for _, v := range f.servers {
-		v.mu.Lock()
-		run := v.run
-		v.mu.Unlock()
-		if run != nil {
+		if run := v.current(); run != nil {
 			all.Go(run.end)
 		}
 	}
--- a/internal/rig/history.go
+++ b/internal/rig/history.go
@@ -2,13 +2,13 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"slices"
 	"sync"
-	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -55,9 +55,6 @@
 	Most   float64 `json:"most,omitempty"`
 }
 
-// Time is when it happened, from the rig's start on.
-func (e *Event) Time() time.Duration { return time.Duration(e.At) }
-
 // maxEvents bounds a history; a plan that would need more is refused before it starts.
 const maxEvents = 5_000_000
 
@@ -105,15 +102,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	all := slices.Clone(r.events)
-	slices.SortStableFunc(all, func(a, b Event) int {
-		switch {
-		case a.At < b.At:
-			return -1
-		case a.At > b.At:
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(all, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return all
 }
 
--- a/internal/rig/page.go
+++ b/internal/rig/page.go
@@ -102,7 +102,7 @@
 		for _, part := range []struct {
 			n     int
 			class string
-		}{{s.InAim, "inaim"}, {s.Late, "late"}, {s.Refused, "refused"}, {s.Failed, "failed"}, {s.Lost, "lost"}} {
+		}{{s.InAim, "inaim"}, {s.Late, "late"}, {s.Refused, "refused"}, {s.Failed, "failed"}, {s.Lost + s.Wrong, "lost"}} {
 			height := curveHeight * float64(part.n) / float64(most)
 			at -= height
 			if part.n > 0 {
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -62,8 +62,6 @@
 
 	mu      sync.Mutex
 	ordered bool // to end
-	killed  bool
-	stopped bool
 }
 
 // launch starts a command; each line that it writes goes to out or log, and
@@ -119,15 +117,7 @@
 func (p *process) order(sig syscall.Signal) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	switch sig {
-	case syscall.SIGKILL, syscall.SIGTERM:
-		p.ordered = true
-		p.killed = p.killed || sig == syscall.SIGKILL
-	case syscall.SIGSTOP:
-		p.stopped = true
-	case syscall.SIGCONT:
-		p.stopped = false
-	}
+	p.ordered = p.ordered || sig == syscall.SIGKILL || sig == syscall.SIGTERM
 	err := p.cmd.Process.Signal(sig)
 	if errors.Is(err, os.ErrProcessDone) {
 		return nil
--- a/internal/rig/relay.go
+++ b/internal/rig/relay.go
@@ -39,15 +39,13 @@
 // relayEvent is what a relay tells of one connection: that it is through, or
 // that its far end could not be reached.
 type relayEvent struct {
-	Conn    *relayed
-	Peer    string // the address that it came from
-	Local   string // the address under which the far end sees it; "" if it was not reached
-	Failure error
+	Conn  *relayed
+	Peer  string // the address that it came from
+	Local string // the address under which the far end sees it; "" if it was not reached
 }
 
 // relayed is one connection.
 type relayed struct {
-	relay     *relay
 	link      *link
 	reversed  bool                     // it was opened by the link's other end
 	ends      [directions]*net.TCPConn // where the bytes of a direction come from
@@ -61,15 +59,10 @@
 // newRelay listens at an address for what is meant for a target. told may be
 // nil, and must not block.
 func newRelay(l *link, at, target string, told func(relayEvent)) (*relay, error) {
-	ln, err := net.Listen("tcp", at)
-	if err != nil {
+	r := &relay{link: l, choose: func(netip.Addr) *link { return l }, told: told, target: target}
+	if err := r.listen(at); err != nil {
 		return nil, err
 	}
-	if told == nil {
-		told = func(relayEvent) {}
-	}
-	r := &relay{link: l, choose: func(netip.Addr) *link { return l }, ln: ln.(*net.TCPListener), target: target, told: told, end: make(chan struct{}), conns: map[*relayed]bool{}}
-	r.all.Go(r.accept)
 	r.all.Go(r.watch)
 	return r, nil
 }
@@ -77,13 +70,22 @@
 // newHub is a relay for connections of several links. On a dropped one a
 // connection comes up, as the kernel can't tell who asks, and nothing comes of it.
 func newHub(name string, choose func(from netip.Addr) *link, at, target string) (*relay, error) {
+	r := &relay{choose: choose, name: name, target: target}
+	return r, r.listen(at)
+}
+
+// listen starts to take connections at an address.
+func (r *relay) listen(at string) error {
 	ln, err := net.Listen("tcp", at)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	r := &relay{choose: choose, name: name, ln: ln.(*net.TCPListener), target: target, told: func(relayEvent) {}, end: make(chan struct{}), conns: map[*relayed]bool{}}
+	if r.told == nil {
+		r.told = func(relayEvent) {}
+	}
+	r.ln, r.end, r.conns = ln.(*net.TCPListener), make(chan struct{}), map[*relayed]bool{}
 	r.all.Go(r.accept)
-	return r, nil
+	return nil
 }
 
 // close ends the relay and resets its connections.
@@ -207,10 +209,10 @@
 	far, err := net.DialTimeout("tcp", r.target, dialTime)
 	if err != nil {
 		abort(c)
-		r.told(relayEvent{Peer: peer, Failure: err})
+		r.told(relayEvent{Peer: peer})
 		return
 	}
-	one := &relayed{relay: r, link: l, reversed: r.link == nil && r.name == l.from, ends: [directions]*net.TCPConn{there: c, back: far.(*net.TCPConn)}, gone: make(chan struct{})}
+	one := &relayed{link: l, reversed: r.link == nil && r.name == l.from, ends: [directions]*net.TCPConn{there: c, back: far.(*net.TCPConn)}, gone: make(chan struct{})}
 	r.mu.Lock()
 	r.conns[one] = true
 	r.mu.Unlock()
--- a/internal/rig/report.go
+++ b/internal/rig/report.go
@@ -38,9 +38,34 @@
 
 // ClassResult is what became of one class's requests.
 type ClassResult struct {
-	Class                                                     string
-	Asked, InAim, Late, Refused, Failed, Lost, Crossed, Wrong int
-	P50, P99                                                  time.Duration // of those served
+	Class string
+	Tally
+	P50, P99 time.Duration // of those served
+}
+
+// Tally counts requests by what became of them.
+type Tally struct{ Asked, InAim, Late, Refused, Failed, Lost, Crossed, Wrong int }
+
+func (t *Tally) count(r *requestLog) {
+	t.Asked++
+	switch r.how {
+	case standin.Served.String():
+		if r.inAim() {
+			t.InAim++
+		} else {
+			t.Late++
+		}
+	case standin.Refused.String():
+		t.Refused++
+	case standin.Failed.String():
+		t.Failed++
+	case standin.Crossed.String():
+		t.Crossed++
+	case standin.Garbled.String():
+		t.Wrong++
+	default:
+		t.Lost++
+	}
 }
 
 // Sound tells whether no checker found anything.
@@ -80,26 +105,8 @@
 		if r.class != c {
 			continue
 		}
-		out.Asked++
-		took := time.Duration(r.took * 1e9)
-		switch r.how {
-		case standin.Served.String():
-			times = append(times, took)
-			if took <= c.Aim {
-				out.InAim++
-			} else {
-				out.Late++
-			}
-		case standin.Refused.String():
-			out.Refused++
-		case standin.Failed.String():
-			out.Failed++
-		case standin.Crossed.String():
-			out.Crossed++
-		case standin.Garbled.String():
-			out.Wrong++
-		default:
-			out.Lost++
+		if out.count(r); r.how == standin.Served.String() {
+			times = append(times, r.duration())
 		}
 	}
 	if slices.Sort(times); len(times) > 0 {
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -47,15 +47,14 @@
 	}
 	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
-	f := &fleet{ctx: inner, plan: p, program: program, dir: dir, extra: o.Env, log: newRecorder(), waits: map[int]map[string]time.Duration{}, starter: newStarter(), front: &front{},
+	f := &fleet{ctx: inner, plan: p, program: program, dir: dir, extra: o.Env, log: newRecorder(), waits: map[int]map[string]time.Duration{}, seen: map[string]string{}, starter: newStarter(), front: &front{},
 		client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	defer f.starter.close()
 	var actors sync.WaitGroup
-	defer actors.Wait()
-	if err := f.raise(&actors); err != nil {
-		return nil, errors.Join(err, f.lower())
+	raised := f.raise(&actors)
+	if raised == nil {
+		err = f.play(ctx, o.Progress)
 	}
-	err = f.play(ctx, o.Progress)
 	for _, n := range f.nodes {
 		close(n.jobs)
 	}
@@ -63,6 +62,9 @@
 		close(v.jobs)
 	}
 	actors.Wait()
+	if raised != nil {
+		return nil, errors.Join(raised, f.lower())
+	}
 	stopErr := f.lower()
 	events := f.log.history()
 	if o.Dir != "" {
@@ -93,7 +95,7 @@
 		return err
 	}
 	for j := range f.plan.Servers.Count {
-		f.servers = append(f.servers, &server{of: f, j: j, name: serverName(j), actor: newActor(actors)})
+		f.servers = append(f.servers, &server{j: j, unit: f.unit(serverName(j), Event{Server: serverName(j)}, actors)})
 	}
 	var entries []standin.Entry
 	var mu sync.Mutex
@@ -111,16 +113,15 @@
 	}
 	all.Wait()
 	if failed != nil {
-		f.close()
 		return failed
 	}
 	f.registry.Set(entries...)
 	for i := range f.plan.Nodes {
-		n := &node{of: f, i: i, name: nodeName(i), dir: filepath.Join(f.dir, nodeName(i)), actor: newActor(actors)}
+		n := &node{i: i, dir: filepath.Join(f.dir, nodeName(i)), unit: f.unit(nodeName(i), Event{Node: nodeName(i)}, actors)}
 		f.nodes = append(f.nodes, n)
+		f.seen[f.network.block.seenAt(i)] = n.name
 		for _, dir := range []string{"state", "older"} {
 			if err := os.MkdirAll(filepath.Join(n.dir, dir), 0o700); err != nil {
-				f.close()
 				return err
 			}
 		}
@@ -131,23 +132,12 @@
 			err = n.start()
 		}
 		if err != nil {
-			f.close()
 			return err
 		}
 	}
 	return f.awaitAll()
 }
 
-// close lets the actors end where the plan is not played.
-func (f *fleet) close() {
-	for _, n := range f.nodes {
-		close(n.jobs)
-	}
-	for _, v := range f.servers {
-		close(v.jobs)
-	}
-}
-
 // awaitAll waits until every node takes requests, or has failed to: what is wrong is the checkers' to say.
 func (f *fleet) awaitAll() error {
 	for until := time.Now().Add(readyTime); time.Now().Before(until); {
@@ -166,7 +156,6 @@
 			return nil
 		}
 		if !pause(10*time.Millisecond, f.ctx.Done()) {
-			f.close()
 			return f.ctx.Err()
 		}
 	}
@@ -289,12 +278,7 @@
 
 // clientEvent notes what clients do and see.
 func (f *fleet) clientEvent(e standin.ClientEvent) {
-	node := ""
-	for i := range f.nodes {
-		if f.network.block.seenAt(i) == e.To {
-			node = nodeName(i)
-		}
-	}
+	node := f.seen[e.To]
 	switch e.What {
 	case standin.ClientAsks:
 		f.log.note(Event{What: Asked, ID: e.ID, Class: e.Class, Node: node})
--- a/internal/rig/server.go
+++ b/internal/rig/server.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"indigotack/internal/standin"
@@ -73,7 +74,6 @@
 type serverTask struct {
 	Name, Zone, Listen string
 	Plan               ServerPlan
-	Seed               uint64
 	Work               map[string]time.Duration // mean, by class
 	StartedMS          int64                    // Unix time; 0: long ago, and so warm
 }
@@ -131,9 +131,11 @@
 
 // witness writes what a server sees to the rig.
 type witness struct {
-	mu   sync.Mutex
-	out  *json.Encoder
-	name string
+	name     string
+	attempts atomic.Int64
+
+	mu  sync.Mutex
+	out *json.Encoder
 }
 
 func (w *witness) note(e Event) {
@@ -143,18 +145,10 @@
 	w.out.Encode(&e) // fails only once the rig has gone
 }
 
-var attempts struct {
-	sync.Mutex
-	n int
-}
-
 func (w *witness) Begin(id, from string, _ time.Time) int {
-	attempts.Lock()
-	attempts.n++
-	n := attempts.n
-	attempts.Unlock()
+	n := w.attempts.Add(1)
 	w.note(Event{What: Began, ID: id, Peer: from, N: float64(n)})
-	return n
+	return int(n)
 }
 
 func (w *witness) Ran(id, zone string, cell int, _ time.Time) { w.note(Event{What: Ran, ID: id}) }
--- a/internal/rig/state.go
+++ b/internal/rig/state.go
@@ -29,11 +29,11 @@
 	case StateSame, StateFull, "":
 		return nil
 	case StateEmpty:
-		return clear_(dir)
+		return empty(dir)
 	case StateTorn:
 		return files(dir, func(path string, info fs.FileInfo) error { return os.Truncate(path, info.Size()/2) })
 	case StateOlder:
-		if err := clear_(dir); err != nil {
+		if err := empty(dir); err != nil {
 			return err
 		}
 		return copyTree(older, dir)
@@ -41,7 +41,7 @@
 	return fmt.Errorf("unknown state %q", how)
 }
 
-func clear_(dir string) error {
+func empty(dir string) error {
 	entries, err := os.ReadDir(dir)
 	if err != nil {
 		return err
--- a/internal/rig/viewcheck.go
+++ b/internal/rig/viewcheck.go
@@ -50,11 +50,15 @@
 func (h *History) view() (looked int, found []Violation) {
 	f := findings{h: h, name: "view"}
 	nodes := slices.Sorted(maps.Keys(h.views))
+	held := map[string][]viewSpan{}
+	for _, name := range nodes {
+		held[name] = h.held(name)
+	}
 	for i, a := range nodes {
 		for _, b := range nodes[i+1:] {
 			apart := append(slices.Clone(h.wrong[[2]string{a, b}]), h.wrong[[2]string{b, a}]...)
-			for _, x := range h.held(a) {
-				for _, y := range h.held(b) {
+			for _, x := range held[a] {
+				for _, y := range held[b] {
 					from, to := max(x.from, y.from), min(x.to, y.to)
 					if from >= to {
 						continue
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -64,7 +64,10 @@
 	Twin  bool  `json:"twin"`     // another process lives under its name
 }
 
-func (m *Member) counts() bool { return m.State == Alive || m.State == Suspect }
+// Counts tells whether members in this state count.
+func (s State) Counts() bool { return s == Alive || s == Suspect }
+
+func (m *Member) counts() bool { return m.State.Counts() }
 
 // Digest stands for the members that count, with their starts. Two nodes with
 // one digest hold the same view.
@@ -380,6 +383,12 @@
 	return out
 }
 
+// Counts tells whether the member of a name counts.
+func (v *View) Counts(name string) bool {
+	m := v.members[name]
+	return m != nil && m.counts()
+}
+
 // Counted is how many members count, this node among them.
 func (v *View) Counted() int {
 	n := 0
