A stop answers all that was taken before the kill, and drops nothing that it has read

Cause 1, frontend.serve: the node ended the longest deadline and 0.4 s after SIGTERM, with no cap. With a class of 4 s that is 4.4 s; the platform kills at 3.7 s (the longest deadline, 3 s at most, and 0.7 s). Where deadlines are under 0.9 s, 1.6 s passed the kill too. Requests opened before the order kept their deadline beyond it; only later ones were cut. At "answer" each request that is still open gets its final answer (owner.overdue: refused only if it was never sent).

Cause 2, found by the test of the first: net/http server.go:1994 drops a request that it has just read whole, without a word, once Shutdown has begun; and Shutdown closes connections as idle whose heads are being read. Shutdown is no longer used. limitedConn.Read takes a connection off the list of unused ones in the instant in which it takes bytes from it, so that what is closed, at the stop or to make room, carries nothing that was read, nor anything in the kernel. What the kernel has accepted is taken before the listener closes.

--- a/cmd/indigotack/main_test.go
+++ b/cmd/indigotack/main_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"debug/elf"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -145,6 +146,65 @@
 	}
 }
 
+// TestSIGTERMWithRequestsInHand: a server hangs while the program is told to
+// end, and its client would wait for far longer than the platform. It gets a
+// whole answer all the same, once, though SIGTERM comes twice and SIGHUP with it.
+func TestSIGTERMWithRequestsInHand(t *testing.T) {
+	hung, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer hung.Close()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listen := free.Addr().String()
+	free.Close()
+	cmd := program(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f",
+		"settings":{"classes":[{"name":"slow","effect":"fragile","aim_ns":1000000000,"give_up_ns":4000000000,"importance":1}]},
+		"known":{"index":1,"endpoints":[{"name":"s","address":%q,"status":"ready"}]}}`, listen, hung.Addr(), hung.Addr()))
+	start(t, cmd)
+	var client net.Conn
+	for until := time.Now().Add(30 * time.Second); client == nil; time.Sleep(5 * time.Millisecond) {
+		if client, _ = net.Dial("tcp", listen); client == nil && time.Now().After(until) {
+			t.Fatal("the program does not listen")
+		}
+	}
+	defer client.Close()
+	client.SetDeadline(time.Now().Add(30 * time.Second))
+	fmt.Fprint(client, "POST /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: q\r\nX-Class: slow\r\nX-Deadline: 60\r\nContent-Length: 1\r\n\r\nx")
+	for at := []byte(nil); !strings.Contains(string(at), "X-Request-Id: q"); { // discovery's calls come there too
+		c, err := hung.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		at = make([]byte, 4096)
+		k, _ := c.Read(at)
+		at = at[:k]
+	}
+	for _, s := range []os.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		if err := cmd.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	answers := bufio.NewReader(client)
+	resp, err := http.ReadResponse(answers, nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	if _, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != http.StatusGatewayTimeout {
+		t.Errorf("answer %d, %v, want a whole 504: it may have run", resp.StatusCode, err)
+	}
+	if b, err := answers.ReadByte(); err != io.EOF {
+		t.Errorf("after the answer: %q, %v, want the end of the connection", b, err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("it ends with %v, want status 0", err)
+	}
+}
+
 // TestSidecarProgram: -app FILE serves an ordinary client, SIGHUP takes up a
 // good file and refuses a bad one, SIGTERM ends it in order.
 func TestSidecarProgram(t *testing.T) {
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -20,9 +20,7 @@
 )
 
 const (
-	lingerTime  = 600 * time.Millisecond  // after SIGTERM new connections still come for a while
-	finishTime  = time.Second             // the last requests then get so long before the node ends
-	finishSlack = 400 * time.Millisecond  // it ends the longest deadline and this after SIGTERM, lest it be killed
+	stopTick    = 5 * time.Millisecond    // how often a node that stops looks whether it is done
 	headTime    = 2 * time.Second         // for a request's head
 	readTime    = 2500 * time.Millisecond // for a whole request
 	writeTime   = 5 * time.Second         // for an answer
@@ -34,17 +32,18 @@
 
 // frontend takes clients' requests and writes their answers.
 type frontend struct {
-	log     *slog.Logger
-	most    int // connections
-	health  string
-	times   times
-	longest func() time.Duration // deadline that a request can have
+	log    *slog.Logger
+	most   int // connections
+	health string
+	times  times
+	plan   func() stopPlan                                               // of a stop ordered now
+	linger func(open func() int, since func() time.Duration, p stopPlan) // serves on until clients are asked to close
 	// read checks a request. The status goes with the error.
 	read    func(w http.ResponseWriter, r *http.Request) (*taken, int, error)
-	linger  func(open func() int) // goes on serving for a while after the order to stop
 	ready   atomic.Bool
-	endsAt  atomic.Int64 // what the node takes after the order to stop is answered by then: its clock; 0: no such order
-	leaving atomic.Bool  // clients are asked to close
+	endsAt  atomic.Int64  // after the order to stop: all that is taken is answered by then, as Unix time in ns; 0: no such order
+	over    chan struct{} // closed then
+	leaving atomic.Bool   // clients are asked to close
 }
 
 // times bounds what the front waits for on its connections.
@@ -59,14 +58,14 @@
 }
 
 func newFrontend(log *slog.Logger, most int) *frontend {
-	f := &frontend{log: log, most: most, health: "/health", times: times{headTime, readTime, writeTime, idleTime}}
-	f.linger = func(open func() int) {
-		for waited := time.Duration(0); waited < lingerTime || open() > 0 && waited < f.longest()+finishSlack-finishTime; {
-			time.Sleep(lingerTime / 10)
-			waited += lingerTime / 10
-		}
+	return &frontend{log: log, most: most, health: "/health", times: times{headTime, readTime, writeTime, idleTime},
+		over: make(chan struct{}), linger: linger}
+}
+
+func linger(open func() int, since func() time.Duration, p stopPlan) {
+	for t := since(); t < p.accept || open() > 0 && t < p.leave; t = since() {
+		time.Sleep(stopTick)
 	}
-	return f
 }
 
 // platformFront is the front of a node on a platform.
@@ -78,7 +77,7 @@
 		p.effects[c.Name] = c.Effect
 		longest = max(longest, c.Deadline)
 	}
-	f.longest = func() time.Duration { return longest }
+	f.plan = func() stopPlan { return planStop(longest, true) }
 	f.read = p.read
 	return f
 }
@@ -94,7 +93,8 @@
 // goes on for as long as it can still finish what it takes: the front sends
 // new connections until it has noticed, and clients that keep theirs may have
 // no other node just now. Then it asks each client to close and finishes what
-// is open.
+// is open. By the plan's time all that was taken has its answer, before the
+// order or after it.
 func (f *frontend) serve(ctx context.Context, ln net.Listener) error {
 	srv := &http.Server{Handler: f, ReadHeaderTimeout: f.times.head, ReadTimeout: f.times.read, IdleTimeout: f.times.idle,
 		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug)}
@@ -109,19 +109,22 @@
 	case <-ctx.Done():
 	}
 	onStop()
-	ends := time.Now().Add(max(f.longest()+finishSlack, lingerTime+finishTime))
-	f.endsAt.Store(ends.UnixNano())
-	f.linger(func() int { return limited.open() })
+	ordered := time.Now()
+	plan := f.plan()
+	f.endsAt.Store(ordered.Add(plan.answer).UnixNano())
+	over := time.AfterFunc(plan.answer, func() { close(f.over) })
+	defer over.Stop()
+	f.linger(limited.open, func() time.Duration { return time.Since(ordered) }, plan)
 	f.leaving.Store(true)
-	end, cancel := context.WithDeadline(context.WithoutCancel(ctx), ends)
-	defer cancel()
-	err := srv.Shutdown(end)
-	if errors.Is(err, context.DeadlineExceeded) {
-		// All requests are past their deadlines and so are answered: what is
-		// left are connections on which none has come.
-		return srv.Close()
+	limited.leave(func() bool { return time.Since(ordered) < plan.answer })
+	for limited.open() > 0 && time.Since(ordered) < plan.end {
+		time.Sleep(stopTick)
+		limited.closeUnused(time.Since(ordered) >= plan.answer)
 	}
-	return err
+	// All requests have had their answers, and the time to write them: what is
+	// left are connections on which no whole one has come, or whose clients do
+	// not read.
+	return srv.Close()
 }
 
 // ServeHTTP answers the health checks and passes requests to the loop.
@@ -151,17 +154,24 @@
 		defer t.done()
 	}
 	t.owner.post(func() { t.owner.open(t.req, t.event) })
-	select {
-	case a := <-t.req.answer:
-		f.write(w, r, a)
-		afterAnswer(r)
-	case <-r.Context().Done():
-		t.owner.post(func() { t.owner.abandon(t.req) })
-		// A client that only ended its sending can still read. Without a word
-		// from here the server would tell it 200, which no backend said.
-		f.write(w, r, answer{status: http.StatusBadGateway})
-	case <-t.owner.ended:
-		http.Error(w, "the node has ended", http.StatusBadGateway)
+	for over := f.over; ; {
+		select {
+		case a := <-t.req.answer:
+			f.write(w, r, a)
+			afterAnswer(r)
+		case <-over:
+			t.owner.post(func() { t.owner.overdue(t.req) })
+			over = nil
+			continue
+		case <-r.Context().Done():
+			t.owner.post(func() { t.owner.abandon(t.req) })
+			// A client that only ended its sending can still read. Without a word
+			// from here the server would tell it 200, which no backend said.
+			f.write(w, r, answer{status: http.StatusBadGateway})
+		case <-t.owner.ended:
+			http.Error(w, "the node has ended", http.StatusBadGateway)
+		}
+		return
 	}
 }
 
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -1,10 +1,16 @@
 package node
 
 import (
+	"errors"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // A client's request comes with its connection or right behind it.
@@ -19,9 +25,10 @@
 	net.Listener
 	most int
 
-	mu     sync.Mutex
-	conns  int
-	unused map[*limitedConn]unused // that carry no request
+	mu      sync.Mutex
+	conns   int
+	leaving bool                    // connections end as soon as they carry nothing
+	unused  map[*limitedConn]unused // of which nothing has been read since the last answer: closing one costs no client an answer
 }
 
 // unused tells of a connection without a request.
@@ -45,7 +52,11 @@
 			return nil, err
 		}
 		if l.take() {
-			return &limitedConn{Conn: c, of: l}, nil
+			lc := &limitedConn{Conn: c, of: l}
+			if sc, ok := c.(syscall.Conn); ok {
+				lc.raw, _ = sc.SyscallConn() // nil where there is no socket
+			}
+			return lc, nil
 		}
 		c.Close()
 	}
@@ -53,12 +64,19 @@
 
 func (l *limited) take() bool {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.conns >= l.most && !l.evict(time.Now()) {
-		return false
+	var worst *limitedConn
+	if l.conns >= l.most {
+		worst = l.evict(time.Now())
+	}
+	room := l.conns < l.most
+	if room {
+		l.conns++
+	}
+	l.mu.Unlock()
+	if worst != nil {
+		worst.Conn.Close()
 	}
-	l.conns++
-	return true
+	return room
 }
 
 // open counts the connections.
@@ -75,21 +93,81 @@
 		return
 	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	over := false
 	switch {
 	case s == http.StateNew || s == http.StateIdle:
 		if !lc.closed {
 			l.unused[lc] = unused{since: time.Now(), spoken: s == http.StateIdle}
 		}
+		if over = l.leaving && s == http.StateIdle && !lc.pending(); over {
+			lc.end()
+		}
 	default:
 		delete(l.unused, lc)
 	}
+	l.mu.Unlock()
+	if over {
+		lc.Conn.Close()
+	}
 }
 
-// evict closes the connection that is least likely to be missed: of those that
-// have been silent for long, else of those between requests, else of those that
-// have not spoken yet, the one that has been so longest.
-func (l *limited) evict(now time.Time) bool {
+// leave takes the connections that are already made, closes the listener, and
+// lets those end that carry nothing. What the kernel has accepted counts as
+// taken; it is waited for while more allows.
+func (l *limited) leave(more func() bool) {
+	for queued(l.Listener) && more() {
+		time.Sleep(time.Millisecond)
+	}
+	l.Listener.Close()
+	l.mu.Lock()
+	l.leaving = true
+	l.mu.Unlock()
+	l.closeUnused(false)
+}
+
+// closeUnused closes the connections that carry nothing. One on which a
+// request has come that has not been read yet is left, as its answer is owed;
+// and so is, unless all are to go, one that is new, as its request comes right
+// behind it.
+func (l *limited) closeUnused(all bool) {
+	var over []*limitedConn
+	l.mu.Lock()
+	for c, u := range l.unused {
+		if (all || u.spoken || time.Since(u.since) >= speakTime) && !c.pending() {
+			c.end()
+			over = append(over, c)
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range over {
+		c.Conn.Close()
+	}
+}
+
+// queued tells whether connections are made that have not been accepted yet.
+func queued(ln net.Listener) bool {
+	sc, ok := ln.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := false
+	err = raw.Control(func(fd uintptr) {
+		one := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(one, 0)
+		waiting = err == nil && n == 1 && one[0].Revents&unix.POLLIN != 0
+	})
+	return err == nil && waiting
+}
+
+// evict gives up the connection that is least likely to be missed, for the
+// caller to close once it has let go of mu: of those that have been silent for
+// long, else of those between requests, else of those that have not spoken
+// yet, the one that has been so longest. It is nil if each carries something.
+func (l *limited) evict(now time.Time) *limitedConn {
 	var worst *limitedConn
 	var worstRank int
 	for c, u := range l.unused {
@@ -103,25 +181,82 @@
 		default:
 			continue
 		}
-		if worst == nil || rank < worstRank || rank == worstRank && u.since.Before(l.unused[worst].since) {
+		if (worst == nil || rank < worstRank || rank == worstRank && u.since.Before(l.unused[worst].since)) && !c.pending() {
 			worst, worstRank = c, rank
 		}
 	}
-	if worst == nil {
-		return false
+	if worst != nil {
+		worst.end()
 	}
-	worst.end()
-	worst.Conn.Close()
-	return true
+	return worst
 }
 
 type limitedConn struct {
 	net.Conn
+	raw    syscall.RawConn
 	of     *limited
 	closed bool // guarded by of.mu
 }
 
-// end gives the slot back, once. The caller holds of.mu.
+// Read takes the connection from those that carry nothing in the same instant
+// in which it takes bytes from it. net/http tells of a request only when it
+// has read its head whole, and what closes the connection until then would
+// cost the client its answer: to the client the request was taken.
+func (c *limitedConn) Read(b []byte) (n int, err error) {
+	if c.raw == nil || len(b) == 0 {
+		return c.Conn.Read(b)
+	}
+	waited := c.raw.Read(func(fd uintptr) bool {
+		c.of.mu.Lock()
+		defer c.of.mu.Unlock()
+		if c.closed {
+			err = net.ErrClosed
+			return true
+		}
+		for {
+			n, err = syscall.Read(int(fd), b)
+			if !errors.Is(err, syscall.EINTR) {
+				break
+			}
+		}
+		if errors.Is(err, syscall.EAGAIN) {
+			return false
+		}
+		if n > 0 {
+			delete(c.of.unused, c)
+		}
+		return true
+	})
+	switch {
+	case waited != nil:
+		return 0, waited
+	case errors.Is(err, net.ErrClosed):
+		return 0, err
+	case err != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// pending tells whether something has come that has not been read.
+func (c *limitedConn) pending() bool {
+	if c.raw == nil {
+		return false
+	}
+	some := false
+	err := c.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		some = err == nil && n > 0
+	})
+	return err == nil && some
+}
+
+// end gives the slot back, once, and nothing is read from then on. The caller
+// holds of.mu, and closes the connection when it has let go of it: a close
+// waits for whoever reads, and a reader for mu.
 func (c *limitedConn) end() {
 	if !c.closed {
 		c.closed = true
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -69,7 +69,8 @@
 		ended: make(chan error, 1)}
 	lingered := make(chan struct{})
 	n.linger = sync.OnceFunc(func() { close(lingered) })
-	n.front.linger = func(func() int) { <-lingered }
+	n.front.linger = func(func() int, func() time.Duration, stopPlan) { <-lingered }
+	n.front.plan = func() stopPlan { return planStop(2*enough, false) } // tests that are not about it have time
 	go func() { n.ended <- n.Run(ctx, ln) }()
 	t.Cleanup(func() {
 		stop()
@@ -232,6 +233,16 @@
 	return v
 }
 
+// waitUntil looks again and again until something holds.
+func waitUntil(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for until := time.Now().Add(enough); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("waited in vain for " + what)
+		}
+	}
+}
+
 func TestAnsweredByItsDeadline(t *testing.T) {
 	server, _, gone := silentServer(t)
 	n := startNode(t, server)
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -184,20 +184,31 @@
 	n.requests[r.id] = r
 	// The module ends a request at its deadline. The guard is for one that it
 	// does not end, as an answer in time is owed whatever it does.
-	r.guard = time.AfterFunc(e.Patience+guardDelay, func() {
-		n.post(func() {
-			if !r.done {
-				n.finish(r.id, answer{status: http.StatusGatewayTimeout})
-				for _, cancel := range r.attempts {
-					cancel() // a module that lost the request does not call them off
-				}
-				n.handle(decide.RequestAbandoned{ID: r.id})
-			}
-		})
-	})
+	r.guard = time.AfterFunc(e.Patience+guardDelay, func() { n.post(func() { n.overdue(r) }) })
 	n.handle(e)
 }
 
+// overdue answers a request that is out of time, whatever is still out for it.
+func (n *owner) overdue(r *request) {
+	if r.done {
+		return
+	}
+	n.finish(r.id, spent(r))
+	for _, cancel := range r.attempts {
+		cancel() // a module that lost the request does not call them off
+	}
+	n.handle(decide.RequestAbandoned{ID: r.id})
+}
+
+// spent is the answer to a request that is out of time: it is refused only
+// where it was never sent, as an attempt may have run.
+func spent(r *request) answer {
+	if len(r.attempts) > 0 {
+		return answer{status: http.StatusGatewayTimeout}
+	}
+	return answer{status: http.StatusServiceUnavailable}
+}
+
 // abandon ends a request whose client has gone.
 func (n *owner) abandon(r *request) {
 	if !r.done {
@@ -273,11 +284,7 @@
 // it is sent. The owner may hear of either only now: a process that has stood
 // still finds its timers, its clients' ends and its own decisions in any order.
 func (n *owner) outlived(r *request) {
-	a := answer{status: http.StatusServiceUnavailable}
-	if len(r.attempts) > 0 {
-		a.status = http.StatusGatewayTimeout // an earlier attempt may have run
-	}
-	n.finish(r.id, a)
+	n.finish(r.id, spent(r))
 	n.queue = append(n.queue, decide.RequestAbandoned{ID: r.id})
 }
 
--- a/internal/node/sidecar.go
+++ b/internal/node/sidecar.go
@@ -68,10 +68,10 @@
 	s.front.health = app.Health
 	s.front.times = times{head: app.Head, read: app.Request, write: app.Write, idle: app.Keep}
 	s.front.read = s.read
-	s.front.longest = func() time.Duration {
+	s.front.plan = func() stopPlan {
 		s.mu.RLock()
 		defer s.mu.RUnlock()
-		return s.app.Longest()
+		return planStop(s.app.Longest(), false)
 	}
 	return s, nil
 }
--- /dev/null
+++ b/internal/node/stop_test.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"testing"
+	"time"
+)
+
+// TestStopPlan: whatever the settings' deadlines, the steps come in order and
+// the last one before the kill, and connections that still come are taken.
+func TestStopPlan(t *testing.T) {
+	for _, longest := range []time.Duration{0, 50 * time.Millisecond, 100 * time.Millisecond, 500 * time.Millisecond, 900 * time.Millisecond,
+		time.Second, 2900 * time.Millisecond, 3 * time.Second, 4 * time.Second, time.Minute, time.Hour} {
+		for _, capped := range []bool{true, false} {
+			kill := longest + 700*time.Millisecond
+			if capped && longest > 3*time.Second {
+				kill = 3700 * time.Millisecond
+			}
+			p := planStop(longest, capped)
+			if p.accept > p.leave || p.leave > p.answer || p.answer >= p.end || p.end >= kill {
+				t.Errorf("longest %v, capped %v: %+v, want its steps in order and before the kill at %v", longest, capped, p, kill)
+			}
+			if p.accept <= 400*time.Millisecond {
+				t.Errorf("longest %v, capped %v: %+v, new connections come for 0.4 s", longest, capped, p)
+			}
+			if kill-p.answer < 200*time.Millisecond {
+				t.Errorf("longest %v, capped %v: %+v leaves no time to write answers before the kill at %v", longest, capped, p, kill)
+			}
+		}
+	}
+}
+
+// TestStopAnswersAllThatWasTaken: requests whose clients would wait far longer
+// than the node lives, taken before the order to stop and after it, at a
+// server that says nothing, or in none. Each has a whole answer before the end.
+func TestStopAnswersAllThatWasTaken(t *testing.T) {
+	server, got, _ := silentServer(t)
+	n := startNode(t, server)
+	plan := stopPlan{answer: 500 * time.Millisecond, end: time.Minute}
+	n.front.plan = func() stopPlan { return plan }
+	before, after := n.dial(t), n.dial(t)
+	before.ask(t, "saldo", "before", "600")
+	wait(t, got, "the attempt before the order")
+	n.stop()
+	waitUntil(t, "the order to stop", func() bool { return n.front.endsAt.Load() != 0 })
+	after.ask(t, "saldo", "after", "600")
+	n.linger()
+	for name, c := range map[string]raw{"before": before, "after": after} {
+		t.Log(name)
+		if status := c.status(t); status != 502 && status != 503 && status != 504 {
+			t.Errorf("the request %s the order is answered %d, want a failure or a refusal", name, status)
+		}
+	}
+	if err := wait(t, n.ended, "the node's end"); err != nil {
+		t.Errorf("the node ends with %v", err)
+	}
+}
