A request whose client has left is not sent on, whatever it waited for and however it left

A review of the waits, each forced by hand with real connections, found:

1. client.left peeked one byte: a client that wrote something behind its request and then closed was taken as still there (client.go). net/http's own reader stops at that byte too, so what was running was not called off either. Now where something lies unread the kernel is asked whether the other side has hung up, and limitedConn.watch looks every 50 ms, only on connections whose next request has begun while one is in hand. 2. pool.attempt wrote after a dial without another look (backend.go). Where the settings allow no cancelling, a client that closed during a late dial had its request sent on. It now looks right before the write. 3. A connection whose next request has begun to be read while the last was answered was listed as unused, and could be closed to make room.

A loop that stands still and another attempt were ruled out as faults for a plain close.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -280,6 +280,7 @@
 	host   string
 	header http.Header // end to end ones
 	body   []byte
+	left   func() bool // whether the client has gone, so that it need not be sent; nil: that is not known
 }
 
 // bytes writes the request in full, so that one write sends it and its result
@@ -325,7 +326,8 @@
 	if err != nil {
 		return result{code: unsent(ctx, err)}
 	}
-	if !time.Now().Before(end) {
+	// The connection may have been long in coming.
+	if !time.Now().Before(end) || o.left != nil && o.left() {
 		c.release() // nothing was sent on it
 		return result{code: decide.Moot}
 	}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -20,15 +20,12 @@
 
 // withClient keeps a connection with its requests, for http.Server's ConnContext.
 func withClient(ctx context.Context, c net.Conn) context.Context {
-	if l, ok := c.(*limitedConn); ok {
-		c = l.Conn
+	l, ok := c.(*limitedConn)
+	if !ok || l.raw == nil {
+		return ctx
 	}
-	if sc, ok := c.(syscall.Conn); ok {
-		if raw, err := sc.SyscallConn(); err == nil {
-			return context.WithValue(ctx, clientKey{}, client{raw})
-		}
-	}
-	return ctx
+	ctx, l.over = context.WithCancel(ctx)
+	return context.WithValue(ctx, clientKey{}, client{l.raw})
 }
 
 func clientOf(r *http.Request) client {
@@ -55,7 +52,9 @@
 }
 
 // left tells whether the client has ended its sending, or broken the
-// connection. The server's own reader hears of that too, but only when it runs.
+// connection, also behind something that it sent and nobody has read. The
+// server's own reader hears of that too, but only when it runs, and of nothing
+// behind the first byte that follows a request.
 func (c client) left() bool {
 	if c.raw == nil {
 		return false
@@ -64,7 +63,22 @@
 	err := c.raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		over = n == 0 && err == nil || err != nil && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+		switch {
+		case n > 0 && err == nil: // what it said says nothing of what came behind it
+			over = hungUp(fd)
+		case n == 0 && err == nil:
+			over = true
+		default:
+			over = !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+		}
 	})
 	return over || err != nil
 }
+
+// hungUp tells whether the other side of a connection has ended its sending,
+// whatever of that is still unread.
+func hungUp(fd uintptr) bool {
+	one := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(one, 0)
+	return err == nil && n == 1 && one[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -245,8 +245,8 @@
 	if err != nil {
 		return bad(status, "%w", err)
 	}
-	return &taken{owner: f.owner, event: e, req: &request{id: e.ID, deadline: f.front.deadline(arrived, patience), left: client.left,
-		answer: make(chan answer, 1), out: &outbound{method: r.Method, url: target(r.URL), host: r.Host, header: endToEnd(r.Header), body: body}}}, 0, nil
+	return &taken{owner: f.owner, event: e, req: &request{id: e.ID, deadline: f.front.deadline(arrived, patience),
+		answer: make(chan answer, 1), out: &outbound{method: r.Method, url: target(r.URL), host: r.Host, header: endToEnd(r.Header), body: body, left: client.left}}}, 0, nil
 }
 
 // deadline is when a request that arrived then has to be answered.
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -17,6 +18,7 @@
 const (
 	speakTime = 250 * time.Millisecond // a connection silent for longer is the first to give way
 	spareTime = 20 * time.Millisecond  // one that has just come is spared
+	lookEvery = 50 * time.Millisecond  // how often a client that said too much is looked after
 )
 
 // limited holds accepted connections to a number, so that clients leave
@@ -95,6 +97,8 @@
 	l.mu.Lock()
 	over := false
 	switch {
+	case s == http.StateIdle && lc.ahead:
+		lc.ahead = false // it carries the next request already
 	case s == http.StateNew || s == http.StateIdle:
 		if !lc.closed {
 			l.unused[lc] = unused{since: time.Now(), spoken: s == http.StateIdle}
@@ -193,9 +197,12 @@
 
 type limitedConn struct {
 	net.Conn
-	raw    syscall.RawConn
-	of     *limited
-	closed bool // guarded by of.mu
+	raw     syscall.RawConn
+	of      *limited
+	over    context.CancelFunc // ends the connection's requests; set before they are read
+	closed  bool               // guarded by of.mu, as the rest is
+	ahead   bool               // the first byte of the next request has been read
+	watched bool
 }
 
 // Read takes the connection from those that carry nothing in the same instant
@@ -225,6 +232,15 @@
 		if n > 0 {
 			delete(c.of.unused, c)
 		}
+		if n == 1 && len(b) == 1 {
+			// net/http asks for one byte while a request is in hand, to hear
+			// of its client's going. Now it has one and looks no further.
+			c.ahead = true
+			if !c.watched {
+				c.watched = true
+				go c.watch()
+			}
+		}
 		return true
 	})
 	switch {
@@ -240,6 +256,24 @@
 	return n, nil
 }
 
+// watch ends the requests of a client that goes after it has sent more than
+// the request in hand, until that has its answer.
+func (c *limitedConn) watch() {
+	for client := (client{c.raw}); ; time.Sleep(lookEvery) {
+		c.of.mu.Lock()
+		c.watched = c.ahead && !c.closed
+		on := c.watched
+		c.of.mu.Unlock()
+		if !on {
+			return
+		}
+		if client.left() {
+			c.over()
+			return
+		}
+	}
+}
+
 // pending tells whether something has come that has not been read.
 func (c *limitedConn) pending() bool {
 	if c.raw == nil {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -41,9 +41,31 @@
 	stop    context.CancelFunc
 	linger  func() // ends the time in which a stopped node goes on accepting
 	ended   chan error
+
+	accepting *accepting
 }
 
 func startNode(t *testing.T, servers ...string) *running {
+	t.Helper()
+	return startNodeWith(t, func(*Config) {}, servers...)
+}
+
+// accepting keeps the connections that it accepts, by their clients' addresses.
+type accepting struct {
+	*net.TCPListener
+	conns sync.Map
+}
+
+func (a *accepting) Accept() (net.Conn, error) {
+	c, err := a.TCPListener.Accept()
+	if err == nil {
+		a.conns.Store(c.RemoteAddr().String(), c)
+	}
+	return c, err
+}
+
+// startNodeWith starts a node whose configuration is not the usual one.
+func startNodeWith(t *testing.T, change func(*Config), servers ...string) *running {
 	t.Helper()
 	var entries []string
 	for i, s := range servers {
@@ -65,13 +87,15 @@
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	n := &running{Node: New(testConfig(disc.Listener.Addr().String()), quiet), address: ln.Addr().String(), stop: stop,
-		ended: make(chan error, 1)}
+	cfg := testConfig(disc.Listener.Addr().String())
+	change(&cfg)
+	accepting := &accepting{TCPListener: ln.(*net.TCPListener)}
+	n := &running{Node: New(cfg, quiet), address: ln.Addr().String(), stop: stop, ended: make(chan error, 1), accepting: accepting}
 	lingered := make(chan struct{})
 	n.linger = sync.OnceFunc(func() { close(lingered) })
 	n.front.linger = func(func() int, func() time.Duration, stopPlan) { <-lingered }
 	n.front.plan = func() stopPlan { return planStop(2*enough, false) } // tests that are not about it have time
-	go func() { n.ended <- n.Run(ctx, ln) }()
+	go func() { n.ended <- n.Run(ctx, accepting) }()
 	t.Cleanup(func() {
 		stop()
 		n.linger()
@@ -495,6 +519,7 @@
 type raw struct {
 	*net.TCPConn
 	read *bufio.Reader
+	name string // its address
 }
 
 func (n *running) dial(t *testing.T) raw {
@@ -505,7 +530,7 @@
 	}
 	t.Cleanup(func() { c.Close() })
 	c.SetDeadline(time.Now().Add(enough))
-	return raw{c.(*net.TCPConn), bufio.NewReader(c)}
+	return raw{c.(*net.TCPConn), bufio.NewReader(c), c.LocalAddr().String()}
 }
 
 func (c raw) ask(t *testing.T, class, id, deadline string) {
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -45,7 +45,6 @@
 	id       decide.RequestID
 	out      *outbound
 	deadline time.Time
-	left     func() bool // whether the client has closed its connection
 	answer   chan answer // takes the one final answer
 	done     bool
 	attempts []context.CancelFunc
@@ -175,7 +174,7 @@
 		r.answer <- answer{status: http.StatusServiceUnavailable}
 		return
 	}
-	if e.Patience = time.Until(r.deadline); e.Patience <= 0 || r.left() {
+	if e.Patience = time.Until(r.deadline); e.Patience <= 0 || r.out.left() {
 		// It came while the process stood still, or lay unread for as long.
 		r.done = true
 		r.answer <- answer{status: http.StatusServiceUnavailable}
@@ -255,7 +254,7 @@
 	}
 	number := len(r.attempts)
 	left := time.Until(r.deadline)
-	if !r.done && (left <= 0 || r.left()) {
+	if !r.done && (left <= 0 || r.out.left()) {
 		n.outlived(r)
 	}
 	if a.Timeout != 0 {
