The times of following a list come from the settings' grace, and a silent agent is asked again soon

Constants stood beside a grace that is 2 s for one customer and 0.5 s for another:

- discovery.go, callGrace and holdPushed: a watch that fell silent was known as such after 7 s, and each further silent call cost 7 s more, while what an agent gets when it comes back counts at once.
A drain behind three silent calls was known after 21.2 s.
- backoffHigh: after failed calls up to 1.5 s passed before the next one, three times the whole grace of the other deployment.
- shrinkWait: a list that had lost most servers waited 0.5 s for a second opinion, all of that grace.
- a list that came in parts was cut after the time for a silent call, however steadily it came, and asked for again from its beginning.

listtimes.go computes all of them in one place from the grace and the source of the list, with the chains that have to fit as formulas; where they can't (a grace under about 0.2 s) the node says so at its start. An agent, on the node's own machine and at no cost, is watched with holds of 2 s (5 s before); after a silence it is asked for what there is every grace/3 until it answers. Shared services keep their holds and waits.

Tests: TestPlanLists (graces of 0 to 1 min, each source), TestDrainBehindSilentCalls (nothing, half a head, half a body; "it is known after 21.174822523s" with the times of before), TestListThatTrickles ("discovery has fallen silent" with the whole call bounded).

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -18,24 +18,20 @@
 )
 
 const (
-	holdPushed  = 5 * time.Second  // a watch on the agent costs nothing; a short one finds a dead link soon
-	holdAsked   = 20 * time.Second // a call to the shared service costs it work
-	callGrace   = 2 * time.Second  // an answer may come so long after the hold is over
-	backoffLow  = 50 * time.Millisecond
-	backoffHigh = time.Second
-	maxList     = 16 << 20 // bytes of a list; ten thousand servers take an eighth
-	maxEntries  = 50_000
-	maxRefused  = 3 // entries that can't be used and are told of one by one
+	maxList    = 16 << 20 // bytes of a list; ten thousand servers take an eighth
+	maxEntries = 50_000
+	maxRefused = 3 // entries that can't be used and are told of one by one
 
 	// A whole list that lacks more than such a part of the servers before, where they were
 	// this many, may be one that discovery has not put together yet. It is asked for once more;
-	// the second answer holds, whatever it says, and the first one if none comes in time. The time is
-	// far under the grace, as what is gone is gone from the first answer on.
+	// the second answer holds, whatever it says, and the first one if none comes in time.
 	shrinkPart  = 0.5
 	shrinkLeast = 4
-	shrinkWait  = 500 * time.Millisecond
 )
 
+// errSilent is of a call that owed an answer, or more of one, for too long.
+var errSilent = fmt.Errorf("discovery has fallen silent: %w", context.DeadlineExceeded)
+
 // list is a list of servers in discovery's form. A malformed entry must not
 // cost the node the others, so it is left out and counted.
 type list struct {
@@ -201,7 +197,8 @@
 type discovery struct {
 	url    string
 	client *http.Client
-	hold   time.Duration
+	times  listTimes
+	silent bool // the last call was not answered in time
 	log    *slog.Logger
 	index  uint64          // 0: none yet, so that the whole list is asked for
 	names  map[string]bool // listed, but for those gone
@@ -214,22 +211,29 @@
 	done  chan struct{}      // closed when it has ended
 }
 
-func newDiscovery(address string, asked bool, log *slog.Logger, listed func(list), failed func()) *discovery {
-	hold := holdPushed
-	if asked {
-		hold = holdAsked
-	}
-	return &discovery{url: "http://" + address + "/registry/instances", hold: hold, log: log, listed: listed, failed: failed,
+func newDiscovery(address string, times listTimes, log *slog.Logger, listed func(list), failed func()) *discovery {
+	return &discovery{url: "http://" + address + "/registry/instances", times: times, log: log, listed: listed, failed: failed,
 		ended: make(chan struct{}), names: map[string]bool{},
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1,
-			DialContext: (&net.Dialer{Timeout: callGrace}).DialContext}}}
+			DialContext: (&net.Dialer{Timeout: times.dial}).DialContext}}}
 }
 
-// call asks once and passes the answer on. The time-out guards against a
-// discovery that takes a call and says nothing.
-func (d *discovery) call(ctx context.Context, query string, hold time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, hold+callGrace)
-	defer cancel()
+// call asks once and passes the answer on. It has to begin within first, and
+// no part of it may be longer in coming than next: a discovery that takes a
+// call and says nothing, or ceases to, is given up. A long list may trickle, but
+// not for longer than what it tells of counts as told anyway.
+func (d *discovery) call(ctx context.Context, query string, first, next time.Duration) (err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	last := time.Now().Add(first + lateTold)
+	watchdog := time.AfterFunc(first, func() { cancel(errSilent) })
+	defer watchdog.Stop()
+	defer func() {
+		if err != nil && context.Cause(ctx) == errSilent {
+			err = errSilent
+		}
+		d.silent = err == errSilent
+	}()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.url+query, nil)
 	if err != nil {
 		return err
@@ -242,7 +246,14 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answers %s", resp.Status)
 	}
-	body := &io.LimitedReader{R: resp.Body, N: maxList + 1}
+	heard := readerFunc(func(b []byte) (int, error) {
+		n, err := resp.Body.Read(b)
+		if n > 0 {
+			watchdog.Reset(min(next, time.Until(last)))
+		}
+		return n, err
+	})
+	body := &io.LimitedReader{R: heard, N: maxList + 1}
 	var l list
 	if err := l.decode(json.NewDecoder(body)); body.N <= 0 {
 		return fmt.Errorf("discovery's list is over %d bytes", maxList)
@@ -253,9 +264,10 @@
 	l.note(d.log)
 	if d.shrunk(&l) && !d.asking {
 		d.log.Warn("discovery's list has lost most servers, it is asked once more", "servers", len(l.Entries), "before", len(d.names))
+		watchdog.Stop() // this call has been answered
 		d.asking = true
-		again, cancel := context.WithTimeout(ctx, shrinkWait)
-		err := d.call(again, "", 0)
+		again, cancel := context.WithTimeout(ctx, d.times.second)
+		err := d.call(again, "", d.times.second, d.times.second)
 		cancel()
 		if d.asking = false; err == nil {
 			return nil
@@ -266,6 +278,10 @@
 	return nil
 }
 
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(b []byte) (int, error) { return f(b) }
+
 // shrunk tells whether a whole list lacks most of the servers before.
 func (d *discovery) shrunk(l *list) bool {
 	if !l.Snapshot || len(d.names) < shrinkLeast {
@@ -315,11 +331,19 @@
 }
 
 // fetch asks for the whole list.
-func (d *discovery) fetch(ctx context.Context) error { return d.call(ctx, "", 0) }
+func (d *discovery) fetch(ctx context.Context) error {
+	patience := d.times.fetch
+	if d.silent && d.times.again > 0 {
+		patience = d.times.again
+	}
+	return d.call(ctx, "", patience, d.times.silence)
+}
 
 // watch follows the list until a call fails. The calls come back to back, so
 // that discovery counts them as one watch. With no version seen here yet it
 // begins with the whole list: versions of another address mean nothing to it.
+// After a silence of an agent it first asks for what there is, with no wait, and
+// soon again: only an answer tells that it speaks, and what it says then counts at once.
 func (d *discovery) watch(ctx context.Context) error {
 	if d.index == 0 {
 		if err := d.fetch(ctx); err != nil {
@@ -327,13 +351,16 @@
 		}
 	}
 	for {
-		began, before := time.Now(), d.index
-		if err := d.call(ctx, fmt.Sprintf("?from=%d&hold_ms=%d", d.index, d.hold.Milliseconds()), d.hold); err != nil {
+		began, before, hold, patience := time.Now(), d.index, d.times.hold, d.times.silence
+		if d.silent && d.times.again > 0 {
+			hold, patience = 0, d.times.again
+		}
+		if err := d.call(ctx, fmt.Sprintf("?from=%d&hold_ms=%d", d.index, hold.Milliseconds()), hold+patience, d.times.silence); err != nil {
 			return err
 		}
-		if d.index == before && time.Since(began) < d.hold/100 {
+		if d.index == before && time.Since(began) < hold/100 {
 			// An agent that does not hold calls must not be called in a loop.
-			if !sleep(ctx, 100*time.Millisecond) {
+			if !sleep(ctx, min(100*time.Millisecond, d.times.high)) {
 				return ctx.Err()
 			}
 		}
@@ -346,7 +373,7 @@
 func (d *discovery) follow(ctx context.Context) {
 	ctx, cancel := d.under(ctx)
 	defer cancel()
-	wait := backoffLow
+	wait := d.times.low
 	for ctx.Err() == nil {
 		began, before := time.Now(), d.index
 		err := d.watch(ctx)
@@ -354,16 +381,16 @@
 			return
 		}
 		onSilence(err)
-		if d.index != before || time.Since(began) > d.hold+callGrace {
-			wait = backoffLow
+		if d.index != before || time.Since(began) > d.times.hold {
+			wait = d.times.low
 		}
-		if wait == backoffLow { // a long outage is one line, not one for each try
+		if wait == d.times.low { // a long outage is one line, not one for each try
 			d.log.Warn("discovery failed, watching again", "err", err)
 		}
 		if !sleep(ctx, time.Duration(float64(wait)*(0.5+rand.Float64()))) {
 			return
 		}
-		wait = min(2*wait, backoffHigh)
+		wait = min(2*wait, d.times.high)
 	}
 }
 
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -86,9 +87,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	lists := make(chan list, 10)
-	d := newDiscovery(s.Listener.Addr().String(), false, quiet, func(l list) { lists <- l }, func() { t.Error("told a failure") })
+	d := newDiscovery(s.Listener.Addr().String(), planLists(agent, 2*time.Second), quiet, func(l list) { lists <- l }, func() { t.Error("told a failure") })
 	d.index = 41
-	d.hold = time.Millisecond
+	d.times.hold = time.Millisecond
 	go d.follow(ctx)
 	select {
 	case l := <-lists:
@@ -123,7 +124,7 @@
 	}))
 	defer s.Close()
 	lists, failures := make(chan list, 10), make(chan bool, 10)
-	d := newDiscovery(s.Listener.Addr().String(), true, quiet, func(l list) { lists <- l }, func() { failures <- true })
+	d := newDiscovery(s.Listener.Addr().String(), planLists(asked, 2*time.Second), quiet, func(l list) { lists <- l }, func() { failures <- true })
 	d.index = 41
 	for _, c := range []struct {
 		fetch bool
@@ -268,7 +269,7 @@
 			fmt.Fprint(w, a)
 		}))
 		var got []int
-		d := newDiscovery(s.Listener.Addr().String(), false, quiet, func(l list) { got = append(got, len(l.Entries)) }, func() {})
+		d := newDiscovery(s.Listener.Addr().String(), planLists(agent, 2*time.Second), quiet, func(l list) { got = append(got, len(l.Entries)) }, func() {})
 		for range 2 {
 			if err := d.fetch(context.Background()); err != nil {
 				t.Errorf("%s: %v", c.name, err)
@@ -279,7 +280,7 @@
 		}
 		s.Close()
 	}
-	d := newDiscovery("127.0.0.1:1", false, quiet, func(list) {}, func() {})
+	d := newDiscovery("127.0.0.1:1", planLists(agent, 2*time.Second), quiet, func(list) {}, func() {})
 	for before, c := range map[int]struct {
 		after int
 		want  bool
@@ -318,8 +319,8 @@
 		io.WriteString(w, `"}`)
 	}))
 	defer long.Close()
-	d := newDiscovery(long.Listener.Addr().String(), false, quiet, func(list) { t.Error("a list that is too long is taken") }, func() {})
-	if err := d.call(context.Background(), "", enough); err == nil || !strings.Contains(err.Error(), "bytes") { // a slow machine takes long to read it
+	d := newDiscovery(long.Listener.Addr().String(), planLists(agent, 2*time.Second), quiet, func(list) { t.Error("a list that is too long is taken") }, func() {})
+	if err := d.call(context.Background(), "", enough, enough); err == nil || !strings.Contains(err.Error(), "bytes") { // a slow machine takes long to read it
 		t.Errorf("too long: %v", err)
 	}
 }
@@ -351,3 +352,102 @@
 		t.Error("two nodes number the same list differently")
 	}
 }
+
+// TestPlanLists: the longest chains fit what the grace allows, over all graces that they can fit, and every time is one.
+func TestPlanLists(t *testing.T) {
+	for _, from := range []source{agent, server, asked} {
+		for _, grace := range []time.Duration{0, 50 * time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond,
+			time.Second, 2 * time.Second, time.Minute} {
+			p := planLists(from, grace)
+			if p.hold <= 0 || p.silence <= 0 || p.fetch <= 0 || p.dial <= 0 || p.low <= 0 || p.high < p.low || p.second < 0 || p.again < 0 {
+				t.Errorf("source %d, grace %v: %+v", from, grace, p)
+			}
+			late := p.late(from, grace, callTime)
+			if fits := from != agent || grace >= 250*time.Millisecond; fits != (late <= 0) {
+				t.Errorf("source %d, grace %v: %+v is late by %v", from, grace, p, late)
+			}
+			if p.second > grace/4 {
+				t.Errorf("source %d, grace %v: a second opinion may take %v", from, grace, p.second)
+			}
+			// A watch that falls silent as it begins, and what it misses: it may count as told from heldTold after its wait is over.
+			call := callTime
+			if from == asked {
+				call += 300 * time.Millisecond // the module's wait
+			}
+			if chain := p.hold + p.silence + p.low*3/2 + call; chain > max(lateTold, p.hold+heldTold)+grace+graceSlack {
+				t.Errorf("source %d, grace %v: news behind a silent watch are known after %v", from, grace, chain)
+			}
+		}
+	}
+}
+
+// TestDrainBehindSilentCalls: an agent takes calls and never answers them, one
+// after another, and then tells of a drain, which counts at once. It is known
+// soon, and the watch goes on as before.
+func TestDrainBehindSilentCalls(t *testing.T) {
+	for name, swallow := range map[string]func(w http.ResponseWriter){
+		"says nothing":      func(http.ResponseWriter) {},
+		"stops in the head": func(w http.ResponseWriter) { w.WriteHeader(200); w.(http.Flusher).Flush() },
+		"stops in the body": func(w http.ResponseWriter) {
+			fmt.Fprint(w, `{"index":42,"snapshot":true,"endpoints":[`)
+			w.(http.Flusher).Flush()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			calls := make(chan string, 100)
+			var number atomic.Int32
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				calls <- r.URL.Query().Get("hold_ms")
+				switch number.Add(1) {
+				case 1, 2, 3:
+					swallow(w)
+					<-r.Context().Done()
+				case 4:
+					fmt.Fprintf(w, `{"index":43,"snapshot":false,"endpoints":[%s]}`, entryJSON("s", "127.0.0.1:1", "draining"))
+				default:
+					<-r.Context().Done()
+				}
+			}))
+			defer s.Close()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			lists := make(chan list, 10)
+			d := newDiscovery(s.Listener.Addr().String(), planLists(agent, 500*time.Millisecond), quiet, func(l list) { lists <- l }, func() {})
+			d.index = 41
+			began := time.Now()
+			go d.follow(ctx)
+			if l := wait(t, lists, "the drain"); l.Index != 43 {
+				t.Errorf("list %d, want 43", l.Index)
+			}
+			if took := time.Since(began); took > lateTold+heldTold {
+				t.Errorf("it is known after %v", took)
+			}
+			for i, want := range []string{"2000", "0", "0", "0", "2000"} {
+				if hold := wait(t, calls, "a call"); hold != want {
+					t.Errorf("call %d asks to be held %s ms, want %s", i+1, hold, want)
+				}
+			}
+		})
+	}
+}
+
+// TestListThatTrickles: a list that comes in parts is no silence, however long the whole takes.
+func TestListThatTrickles(t *testing.T) {
+	t.Parallel()
+	const first = 1500 * time.Millisecond
+	rest := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprint(w, "{ \"index\": 7,\n  \"snapshot\": true,\n")
+		w.(http.Flusher).Flush()
+		<-rest
+		fmt.Fprint(w, "  \"endpoints\": [\n ]\n}\n")
+	}))
+	defer s.Close()
+	time.AfterFunc(2*first, func() { close(rest) })
+	var got list
+	d := newDiscovery(s.Listener.Addr().String(), planLists(agent, time.Second), quiet, func(l list) { got = l }, func() {})
+	if err := d.call(context.Background(), "", first, enough); err != nil || got.Index != 7 {
+		t.Errorf("%v, list %+v", err, got)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,7 +48,15 @@
 			}
 		})
 	}
-	d = newDiscovery(address, n.cfg.Settings.AskForList, n.log,
+	from, grace := agent, n.cfg.Settings.DrainGrace
+	if n.cfg.Settings.AskForList {
+		from = asked
+	}
+	times := planLists(from, grace)
+	if late := times.late(from, grace, callTime); late > 0 {
+		n.log.Warn("the grace for draining servers is too short to hear of a drain in time after discovery was silent", "grace", grace, "late", late)
+	}
+	d = newDiscovery(address, times, n.log,
 		func(l list) { news(func() { n.follow(l.Entries, l.Index, kindOf(l)) }) },
 		func() { news(func() { n.handle(decide.ListUpdate{Kind: decide.ListFailed}) }) })
 	return d
--- a/internal/node/sidecar.go
+++ b/internal/node/sidecar.go
@@ -210,7 +210,7 @@
 		s.source.end()
 	}
 	var d *discovery
-	d = newDiscovery(app.Discovery, false, s.log, func(l list) {
+	d = newDiscovery(app.Discovery, planLists(server, app.DrainGrace), s.log, func(l list) {
 		s.mu.RLock()
 		defer s.mu.RUnlock()
 		s.listMu.Lock()
