A full node refuses in words, and nothing goes to a server's old process on a late dial

A review of what ends connections and requests, each forced by hand:

Node.New let as many requests be open as clients have connections. A further client's connection was closed without a word (limited.Accept). A sixteenth of the connections is now left for refusals, and a new one waits up to 20 ms for room: a connection whose answer is out is not noted as idle yet. ServeHTTP's select drew between the final answer and the client's going, or the pool's end; a client that only ended its sending could get 502 instead. 4. A panic while a request is read ended its connection with no answer. 5. A connection on which a part of a request has been read is begun, not unused: the stop leaves it, and to make room it goes last, after 250 ms of silence. A second answer may come later than the 5 ms that a connection rests: of idle connections those go first that have rested 50 ms.

Tests, each seen to fail with its mend taken out: TestFullNodeRefusesInWords ("no answer: unexpected EOF"), TestDialOutlivesItsServer ("outcome 0, 1 requests at the server"), TestAnswerAndGoingAtOnce ("answer 502"), TestStumblesAndAnswers ("no answer: unexpected EOF"), TestStopTakesWhatTheKernelAccepted ("connection reset by peer"), TestStopWaitsForHalfAHead ("no answer: unexpected EOF"), clients with half a head in TestSilentClientsGiveWay. TestConnectionsRest and TestIdleConnections say the new order, by times set by hand.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -33,8 +33,11 @@
 
 	// A connection rests so long after an answer. What a server says or does
 	// right behind it, noise, a second copy or a close, shows by then, and can
-	// neither answer the next request nor break it.
-	restTime = 5 * time.Millisecond
+	// neither answer the next request nor break it. Where a connection is idle
+	// that has rested for longer it goes first, as some of that comes late; for
+	// none of those is one opened, which costs its server more than it is worth.
+	restTime   = 5 * time.Millisecond
+	restedTime = 50 * time.Millisecond
 )
 
 // pool keeps connections to servers. It never sends anything itself.
@@ -175,6 +178,13 @@
 		return nil, err
 	}
 	c := &conn{Conn: raw, of: b, pool: p}
+	p.mu.Lock()
+	stale := b.closed
+	p.mu.Unlock()
+	if stale { // the list has named another process, or none, while this one was dialled
+		c.discard()
+		return nil, errNotListed
+	}
 	c.budget.R = c
 	c.read = bufio.NewReader(&c.budget)
 	return c, nil
@@ -189,11 +199,8 @@
 		return nil, nil, errNotListed
 	}
 	now := time.Now()
-	for i := len(b.idle) - 1; i >= 0; i-- {
+	for i := b.rested(now, p.rest); i >= 0; i = b.rested(now, p.rest) {
 		c := b.idle[i]
-		if now.Sub(c.idleAt) < p.rest {
-			continue
-		}
 		b.idle = slices.Delete(b.idle, i, i+1)
 		p.idle.Remove(c.place)
 		// A connection that its server has closed, or on which it said
@@ -212,6 +219,20 @@
 	return b, nil, nil
 }
 
+// rested is the place of the idle connection to use: of those that have rested
+// well the one used last, else the one that has rested longest; -1: none has.
+func (b *backend) rested(now time.Time, least time.Duration) int {
+	for i := len(b.idle) - 1; i >= 0; i-- {
+		if now.Sub(b.idle[i].idleAt) >= max(least, restedTime) {
+			return i
+		}
+	}
+	if len(b.idle) > 0 && now.Sub(b.idle[0].idleAt) >= least {
+		return 0
+	}
+	return -1
+}
+
 // evict closes the connection that has been idle longest, which is its backend's first.
 func (p *pool) evict() bool {
 	e := p.idle.Front()
--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -176,15 +176,39 @@
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", number)
 		}
 	}))
-	p.rest = time.Hour
+	p.rest = time.Minute
 	for _, want := range []string{"0", "1"} {
 		if got := try(t, p, enough); string(got.body) != want {
 			t.Errorf("connection %s answers, want %s", got.body, want)
 		}
 	}
+	first := p.backends[1].idle[0].LocalAddr().String()
 	p.rest = 0
-	if got := try(t, p, enough); string(got.body) != "1" {
-		t.Errorf("connection %s answers, want the one used last of those that have rested", got.body)
+	for _, c := range []struct {
+		rested [2]time.Duration
+		want   string
+	}{
+		{[2]time.Duration{2 * time.Minute, time.Minute}, "1"}, // the one used last of those that have rested well
+		{[2]time.Duration{time.Minute, -time.Minute}, "0"},    // the other has only just been used
+		{[2]time.Duration{-time.Minute, -2 * time.Minute}, "2"},
+	} {
+		idle := p.backends[1].idle
+		for i := range idle { // they come back in any order
+			number := 0
+			if idle[i].LocalAddr().String() != first {
+				number = 1
+			}
+			idle[i].idleAt = time.Now().Add(-c.rested[number])
+		}
+		slices.SortFunc(idle, func(a, b *conn) int { return a.idleAt.Compare(b.idleAt) })
+		if got := try(t, p, enough); string(got.body) != c.want {
+			t.Errorf("after rests of %v connection %s answers, want %s", c.rested, got.body, c.want)
+		}
+	}
+	// Of those that have rested less than well, the one that has rested longest.
+	b := &backend{idle: []*conn{{idleAt: time.Unix(100, 0)}, {idleAt: time.Unix(100, int64(restTime))}}}
+	if i := b.rested(time.Unix(100, int64(2*restTime)), restTime); i != 0 {
+		t.Errorf("connection %d is used, want the one that has rested longest", i)
 	}
 }
 
@@ -379,6 +403,9 @@
 	}
 	cs[1].release()
 	cs[0].release()
+	for _, c := range cs { // in the same order, both well rested
+		c.idleAt = c.idleAt.Add(-restedTime)
+	}
 	if c, _ := p.get(ctx, 1); c != cs[0] {
 		t.Error("the one used last is not taken first")
 	} else {
@@ -536,3 +563,38 @@
 	p.mu.Unlock()
 	return p.connect(context.Background(), b)
 }
+
+// TestDialOutlivesItsServer: while a connection comes up the list names another
+// process of its server, or none. Nothing new goes to the old one, and as
+// nothing was sent the request may go elsewhere.
+func TestDialOutlivesItsServer(t *testing.T) {
+	for name, change := range map[string]func(p *pool){
+		"gone":      func(p *pool) { p.remove(1) },
+		"restarted": func(p *pool) { p.set(1, p.backends[1].address, 7) },
+		"moved":     func(p *pool) { p.set(1, "127.0.0.1:1", 0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := make(chan bool, 1)
+			p := testPool(backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				if readRequest(r) != nil {
+					got <- true
+					io.WriteString(c, okAnswer)
+				}
+			}))
+			dialling, gate := make(chan bool, 1), make(chan bool)
+			p.dialer.ControlContext = func(context.Context, string, string, syscall.RawConn) error {
+				dialling <- true
+				<-gate
+				return nil
+			}
+			results := make(chan result, 1)
+			go func() { results <- try(t, p, enough) }()
+			wait(t, dialling, "the dial")
+			change(p)
+			close(gate)
+			if res := wait(t, results, "the outcome"); res.code != decide.Moot || len(got) > 0 || p.open != 0 {
+				t.Errorf("outcome %d, %d requests at the server, %d connections open, want Moot and none", res.code, len(got), p.open)
+			}
+		})
+	}
+}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"runtime/debug"
 	"slices"
 	"strconv"
 	"strings"
@@ -117,6 +118,7 @@
 	f.linger(limited.open, func() time.Duration { return time.Since(ordered) }, plan)
 	f.leaving.Store(true)
 	limited.leave(func() bool { return time.Since(ordered) < plan.answer })
+	<-failed // as the listener has closed
 	for limited.open() > 0 && time.Since(ordered) < plan.end {
 		time.Sleep(stopTick)
 		limited.closeUnused(time.Since(ordered) >= plan.answer)
@@ -145,7 +147,7 @@
 			return
 		}
 	}
-	t, status, err := f.read(w, r)
+	t, status, err := f.readSafely(w, r)
 	if err != nil {
 		f.turnAway(w, err, status)
 		return
@@ -167,14 +169,26 @@
 			t.owner.post(func() { t.owner.abandon(t.req) })
 			// A client that only ended its sending can still read. Without a word
 			// from here the server would tell it 200, which no backend said.
-			f.write(w, r, answer{status: http.StatusBadGateway})
+			f.write(w, r, t.req.answerOr(answer{status: http.StatusBadGateway}))
 		case <-t.owner.ended:
-			http.Error(w, "the node has ended", http.StatusBadGateway)
+			f.write(w, r, t.req.answerOr(answer{status: http.StatusBadGateway}))
 		}
 		return
 	}
 }
 
+// readSafely turns a panic into an error, so that a request that the node
+// stumbles over has an answer too: net/http would end its connection.
+func (f *frontend) readSafely(w http.ResponseWriter, r *http.Request) (t *taken, status int, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			f.log.Error("a request could not be read", "panic", p, "stack", string(debug.Stack()))
+			t, status, err = nil, http.StatusInternalServerError, errors.New("the node has failed to read it")
+		}
+	}()
+	return f.read(w, r)
+}
+
 // turnAway answers a request that can't be read and ends its connection. What
 // follows on it may belong to the body of this request as the client sees it,
 // so none of it is taken for a request; and the answer waits for no body.
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -128,29 +128,44 @@
 	})
 }
 
-// hears waits until the kernel on the node's side has heard that a client has gone.
-func (n *running) hears(t *testing.T, c raw) {
+// conn is the node's side of a client's connection.
+func (n *running) conn(t *testing.T, c raw) (conn syscall.RawConn, open bool) {
 	t.Helper()
-	var conn *net.TCPConn
-	waitUntil(t, "the connection", func() bool {
-		v, ok := n.accepting.conns.Load(c.name)
-		if ok {
-			conn = v.(*net.TCPConn)
-		}
+	var accepted any
+	waitUntil(t, "the connection", func() (ok bool) {
+		accepted, ok = n.accepting.conns.Load(c.name)
 		return ok
 	})
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return // it is closed
-	}
+	conn, err := accepted.(*net.TCPConn).SyscallConn()
+	return conn, err == nil
+}
+
+// hears waits until the kernel on the node's side has heard that a client has gone.
+func (n *running) hears(t *testing.T, c raw) {
+	t.Helper()
+	conn, open := n.conn(t, c)
 	const established = 1 // TCP_ESTABLISHED
 	waitUntil(t, "the client's going to show", func() bool {
 		gone := false
-		err := raw.Control(func(fd uintptr) {
+		err := conn.Control(func(fd uintptr) {
 			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 			gone = err != nil || info.State != established
 		})
-		return gone || err != nil
+		return !open || gone || err != nil
+	})
+}
+
+// takes waits until the node has read so many bytes of a client's.
+func (n *running) takes(t *testing.T, c raw, bytes uint64) {
+	t.Helper()
+	conn, _ := n.conn(t, c)
+	waitUntil(t, "what the client said to be read", func() (read bool) {
+		conn.Control(func(fd uintptr) {
+			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+			unread, err2 := unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+			read = err == nil && err2 == nil && info.Bytes_received >= bytes && unread == 0
+		})
+		return read
 	})
 }
 
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -17,7 +16,7 @@
 // A client's request comes with its connection or right behind it.
 const (
 	speakTime = 250 * time.Millisecond // a connection silent for longer is the first to give way
-	spareTime = 20 * time.Millisecond  // one that has just come is spared
+	spareTime = 20 * time.Millisecond  // one that has just come is spared; and a new one waits so long for room
 	lookEvery = 50 * time.Millisecond  // how often a client that said too much is looked after
 )
 
@@ -30,13 +29,15 @@
 	mu      sync.Mutex
 	conns   int
 	leaving bool                    // connections end as soon as they carry nothing
-	unused  map[*limitedConn]unused // of which nothing has been read since the last answer: closing one costs no client an answer
+	unused  map[*limitedConn]unused // that carry no whole request
 }
 
-// unused tells of a connection without a request.
+// unused tells of a connection without a request. Closing one costs no client
+// an answer, unless a part of a request has been read from it.
 type unused struct {
-	since  time.Time
-	spoken bool // it has carried one before
+	since  time.Time // or the last part of a request came
+	spoken bool      // it has carried one before
+	begun  bool      // a part of one has been read
 }
 
 func limitListener(ln net.Listener, most int) *limited {
@@ -53,7 +54,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.take() {
+		room := l.take()
+		for until := time.Now().Add(spareTime); !room && time.Now().Before(until); room = l.take() {
+			time.Sleep(time.Millisecond) // some connection may be about to have its answer
+		}
+		if room {
 			lc := &limitedConn{Conn: c, of: l}
 			if sc, ok := c.(syscall.Conn); ok {
 				lc.raw, _ = sc.SyscallConn() // nil where there is no socket
@@ -97,8 +102,9 @@
 	l.mu.Lock()
 	over := false
 	switch {
-	case s == http.StateIdle && lc.ahead:
-		lc.ahead = false // it carries the next request already
+	case s == http.StateIdle && lc.ahead && !lc.closed:
+		lc.ahead = false // the next request has begun
+		l.unused[lc] = unused{since: time.Now(), spoken: true, begun: true}
 	case s == http.StateNew || s == http.StateIdle:
 		if !lc.closed {
 			l.unused[lc] = unused{since: time.Now(), spoken: s == http.StateIdle}
@@ -137,7 +143,7 @@
 	var over []*limitedConn
 	l.mu.Lock()
 	for c, u := range l.unused {
-		if (all || u.spoken || time.Since(u.since) >= speakTime) && !c.pending() {
+		if !u.begun && (all || u.spoken || time.Since(u.since) >= speakTime) && !c.pending() {
 			c.end()
 			over = append(over, c)
 		}
@@ -170,13 +176,18 @@
 // evict gives up the connection that is least likely to be missed, for the
 // caller to close once it has let go of mu: of those that have been silent for
 // long, else of those between requests, else of those that have not spoken
-// yet, the one that has been so longest. It is nil if each carries something.
+// yet, else of those that stopped in the middle of a request, the one that has
+// been so longest. It is nil if each carries something.
 func (l *limited) evict(now time.Time) *limitedConn {
 	var worst *limitedConn
 	var worstRank int
 	for c, u := range l.unused {
 		age, rank := now.Sub(u.since), 1
 		switch {
+		case u.begun:
+			if rank = 3; age < speakTime { // the rest may have come
+				continue
+			}
 		case u.spoken:
 		case age >= speakTime:
 			rank = 0
@@ -205,8 +216,8 @@
 	watched bool
 }
 
-// Read takes the connection from those that carry nothing in the same instant
-// in which it takes bytes from it. net/http tells of a request only when it
+// Read notes that a request has begun in the same instant in which it takes
+// bytes from the connection. net/http tells of a request only when it
 // has read its head whole, and what closes the connection until then would
 // cost the client its answer: to the client the request was taken.
 func (c *limitedConn) Read(b []byte) (n int, err error) {
@@ -229,8 +240,9 @@
 		if errors.Is(err, syscall.EAGAIN) {
 			return false
 		}
-		if n > 0 {
-			delete(c.of.unused, c)
+		if u, unused := c.of.unused[c]; n > 0 && unused {
+			u.since, u.begun = time.Now(), true
+			c.of.unused[c] = u
 		}
 		if n == 1 && len(b) == 1 {
 			// net/http asks for one byte while a request is in hand, to hear
@@ -246,10 +258,8 @@
 	switch {
 	case waited != nil:
 		return 0, waited
-	case errors.Is(err, net.ErrClosed):
-		return 0, err
-	case err != nil:
-		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
+	case err != nil: // as a reset tells, or the close here, that nobody is left to be told of a bad request
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
 	case n == 0:
 		return 0, io.EOF
 	}
--- a/internal/node/listener_test.go
+++ b/internal/node/listener_test.go
@@ -20,8 +20,11 @@
 	}))
 	most := n.front.most
 	var silent []raw
-	for range 2 * most {
+	for i := range 2 * most {
 		silent = append(silent, n.dial(t))
+		if i%2 == 1 { // or say a little
+			io.WriteString(silent[i], "GET /api/x HTTP/1.1\r\nHo")
+		}
 	}
 	// A client that is turned away in the rush comes again and gets its turn.
 	for i, until := 0, time.Now().Add(enough); ; i++ {
@@ -35,6 +38,12 @@
 		}
 	}
 	for i, c := range silent {
+		if i%2 == 1 {
+			if resp, err := http.ReadResponse(c.read, nil); err == nil && resp.StatusCode < 400 || err != nil && isTimeout(err) {
+				t.Fatalf("client %d, which said a little, gets %v, %v, want an error or the end of its connection", i, resp, err)
+			}
+			continue
+		}
 		if _, err := c.read.ReadByte(); err == nil || isTimeout(err) {
 			t.Fatalf("silent client %d gets %v, want the end of its connection", i, err)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,8 +26,11 @@
 func New(cfg Config, log *slog.Logger) *Node {
 	clients, servers := appconfig.SplitDescriptors(cfg.Sockets)
 	set := cfg.Settings
-	if set.MaxOpen <= 0 || set.MaxOpen > clients { // each open request has a client's connection
-		set.MaxOpen = clients
+	// Each open request has a client's connection. Some are left for requests
+	// that are refused: a client whose connection is closed without a word is
+	// told nothing.
+	if room := clients - max(1, clients/16); set.MaxOpen <= 0 || set.MaxOpen > room {
+		set.MaxOpen = room
 	}
 	n := &Node{cfg: cfg, owner: newOwner(set, cfg.Seed, servers, log)}
 	n.front = platformFront(n, clients)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -54,9 +54,12 @@
 type accepting struct {
 	*net.TCPListener
 	conns sync.Map
+	gate  sync.Mutex // held: what the kernel has accepted waits
 }
 
 func (a *accepting) Accept() (net.Conn, error) {
+	a.gate.Lock()
+	a.gate.Unlock()
 	c, err := a.TCPListener.Accept()
 	if err == nil {
 		a.conns.Store(c.RemoteAddr().String(), c)
@@ -572,10 +575,13 @@
 		cfg := testConfig("127.0.0.1:1")
 		cfg.Settings.MaxOpen = most
 		n := New(cfg, slog.New(slog.DiscardHandler))
-		want := n.front.most
+		want := n.front.most - n.front.most/16 // the rest is for requests that are refused
 		if most > 0 {
 			want = min(want, most)
 		}
+		if n.set.MaxOpen >= n.front.most {
+			t.Errorf("%d may be open on %d connections, so that no further client can be told anything", n.set.MaxOpen, n.front.most)
+		}
 		if n.set.MaxOpen != want {
 			t.Errorf("%d for settings of %d, want %d", n.set.MaxOpen, most, want)
 		}
@@ -584,3 +590,55 @@
 		}
 	}
 }
+
+// TestFullNodeRefusesInWords: a client beyond what the node can hold is
+// refused, rather than cut off, which tells it nothing.
+func TestFullNodeRefusesInWords(t *testing.T) {
+	server, got, _ := silentServer(t)
+	n := startNodeWith(t, func(c *Config) { c.Sockets = leastSockets }, server, server, server, server, server, server, server, server)
+	for i := range n.set.MaxOpen {
+		n.dial(t).ask(t, "saldo", fmt.Sprint("q", i), "60")
+		wait(t, got, "an attempt")
+	}
+	for i := range 3 { // each on a connection of its own
+		c := n.dial(t)
+		c.ask(t, "saldo", fmt.Sprint("more", i), "60")
+		if status := c.status(t); status != http.StatusServiceUnavailable {
+			t.Errorf("answer %d, want a refusal", status)
+		}
+	}
+}
+
+// TestStumblesAndAnswers: a request that the node fails to read is answered.
+func TestStumblesAndAnswers(t *testing.T) {
+	n := startNode(t, refusing(t))
+	n.front.read = func(http.ResponseWriter, *http.Request) (*taken, int, error) { panic("stumbled") }
+	c := n.dial(t)
+	c.ask(t, "saldo", "q", "60")
+	if status := c.status(t); status != http.StatusInternalServerError {
+		t.Errorf("answer %d, want 500", status)
+	}
+}
+
+// TestAnswerAndGoingAtOnce: where the final answer is there when a client's
+// going is heard of, or the pool's end, it is written; a client that only
+// ended its sending reads it.
+func TestAnswerAndGoingAtOnce(t *testing.T) {
+	cfg := testConfig("127.0.0.1:1")
+	n := New(cfg, quiet)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	close(n.ended)
+	for i := range 200 { // the order in which a select sees them is drawn
+		n.front.read = func(http.ResponseWriter, *http.Request) (*taken, int, error) {
+			r := &request{id: "q", answer: make(chan answer, 1)}
+			r.answer <- answer{status: 200, served: true, body: []byte("hi")}
+			return &taken{owner: n.owner, req: r}, 0, nil
+		}
+		w := httptest.NewRecorder()
+		n.front.ServeHTTP(w, httptest.NewRequest("GET", "/x", nil).WithContext(ctx))
+		if w.Code != 200 || w.Body.String() != "hi" {
+			t.Fatalf("round %d: answer %d %q", i, w.Code, w.Body)
+		}
+	}
+}
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -62,6 +62,17 @@
 	body    []byte
 }
 
+// answerOr is the request's final answer if it has been given, whatever else
+// has happened since, or else another. Nothing takes one after it.
+func (r *request) answerOr(other answer) answer {
+	select {
+	case a := <-r.answer:
+		return a
+	default:
+		return other
+	}
+}
+
 func newOwner(s decide.Settings, seed int64, sockets int, log *slog.Logger) *owner {
 	return &owner{log: log, start: time.Now(), wall: time.Duration(clock.Wall().UnixNano()), inbox: make(chan func(), inboxSize), ended: make(chan struct{}),
 		backends: newPool(s, sockets), listChanged: func(int) {}, set: s, module: decide.New(s, seed), ids: newIDs(),
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -1,6 +1,10 @@
 package node
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
 	"testing"
 	"time"
 )
@@ -54,3 +58,60 @@
 		t.Errorf("the node ends with %v", err)
 	}
 }
+
+// serving answers all that it is asked.
+func serving(t *testing.T) string {
+	return backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for readRequest(r) != nil {
+			io.WriteString(c, okAnswer)
+		}
+	})
+}
+
+// TestStopTakesWhatTheKernelAccepted: a connection is made, and its request is
+// sent, before the listener closes, and the node gets to it only then.
+func TestStopTakesWhatTheKernelAccepted(t *testing.T) {
+	n := startNode(t, serving(t))
+	n.accepting.gate.Lock()
+	n.dial(t) // for the accept that may be under way
+	late := n.dial(t)
+	late.ask(t, "saldo", "late", "60")
+	n.stop()
+	n.linger()
+	waitUntil(t, "the end of the stop's first part", n.front.leaving.Load)
+	n.accepting.gate.Unlock()
+	if status := late.status(t); status != 200 {
+		t.Errorf("answer %d, want 200", status)
+	}
+	if err := wait(t, n.ended, "the node's end"); err != nil {
+		t.Errorf("the node ends with %v", err)
+	}
+}
+
+// TestStopWaitsForHalfAHead: when idle connections are closed, one has half a
+// request in the node's hands. It is answered when the rest has come.
+func TestStopWaitsForHalfAHead(t *testing.T) {
+	n := startNode(t, serving(t))
+	idle, half := n.dial(t), n.dial(t)
+	for i, c := range []raw{idle, half} {
+		c.ask(t, "saldo", fmt.Sprint("first", i), "60")
+		if status := c.status(t); status != 200 {
+			t.Fatalf("answer %d, want 200", status)
+		}
+	}
+	request := text("safe", "second")
+	fmt.Fprint(half, request[:30])
+	n.takes(t, half, uint64(len(text("safe", "first1"))+30))
+	n.stop()
+	n.linger()
+	if b, err := idle.read.ReadByte(); err != io.EOF {
+		t.Fatalf("the idle connection: %q, %v, want its end", b, err)
+	}
+	fmt.Fprint(half, request[30:])
+	if status := half.status(t); status != 200 {
+		t.Errorf("answer %d, want 200", status)
+	}
+	if err := wait(t, n.ended, "the node's end"); err != nil {
+		t.Errorf("the node ends with %v", err)
+	}
+}
