--- a/cmd/indigotack/main_test.go
+++ b/cmd/indigotack/main_test.go
@@ -61,6 +61,17 @@
 	return said
 }
 
+// freeAddress is an address where nothing listens yet.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
 func TestBadConfigIsOneLineAndNonZero(t *testing.T) {
 	out, err := program(t, `{"settings":{}}`).CombinedOutput()
 	if _, ok := err.(*exec.ExitError); !ok || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), "listen") {
@@ -155,12 +166,7 @@
 		t.Fatal(err)
 	}
 	defer hung.Close()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	listen := free.Addr().String()
-	free.Close()
+	listen := freeAddress(t)
 	cmd := program(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f",
 		"settings":{"classes":[{"name":"slow","effect":"fragile","aim_ns":1000000000,"give_up_ns":4000000000,"importance":1}]},
 		"known":{"index":1,"endpoints":[{"name":"s","address":%q,"status":"ready"}]}}`, listen, hung.Addr(), hung.Addr()))
@@ -210,12 +216,7 @@
 func TestSidecarProgram(t *testing.T) {
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "page") }))
 	defer backend.Close()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := ln.Addr().String()
-	ln.Close()
+	address := freeAddress(t)
 	dir := t.TempDir()
 	write := func(name, text string) {
 		t.Helper()
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -276,22 +276,9 @@
 
 // silent tells whether an idle connection is open with nothing to read.
 func silent(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && quiet
+	raw := rawOf(c)
+	unread, over := glance(raw)
+	return raw != nil && !unread && !over
 }
 
 // outbound is what goes to a server for a client's request.
--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -57,6 +57,15 @@
 	return req
 }
 
+// serving is a server that answers all that it is asked.
+func serving(t *testing.T) string {
+	return backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for readRequest(r) != nil {
+			io.WriteString(c, okAnswer)
+		}
+	})
+}
+
 // refusing is an address where nothing listens.
 func refusing(t *testing.T) string {
 	t.Helper()
@@ -86,6 +95,17 @@
 	return p.attempt(ctx, 1, get("/api/x"))
 }
 
+// holdDials has each dial of a pool wait until release.
+func holdDials(p *pool) (dialling <-chan struct{}, release func()) {
+	begun, gate := make(chan struct{}, 100), make(chan struct{})
+	p.dialer.ControlContext = func(context.Context, string, string, syscall.RawConn) error {
+		begun <- struct{}{}
+		<-gate
+		return nil
+	}
+	return begun, func() { close(gate) }
+}
+
 const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Load: inflight=7,queue=2\r\n\r\nhi"
 
 func TestOutcomes(t *testing.T) {
@@ -224,11 +244,7 @@
 }
 
 func TestBreakBeforeTheLastByteNeverRan(t *testing.T) {
-	server := backendServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
-		for readRequest(r) != nil {
-			io.WriteString(conn, okAnswer)
-		}
-	})
+	server := serving(t)
 	msg, err := get("/api/x").bytes(enough)
 	if err != nil {
 		t.Fatal(err)
@@ -394,11 +410,7 @@
 }
 
 func TestIdleConnections(t *testing.T) {
-	address := backendServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
-		for readRequest(r) != nil {
-			io.WriteString(conn, okAnswer)
-		}
-	})
+	address := serving(t)
 	p := testPool(address)
 	p.most = 2
 	p.set(2, address, 0)
@@ -595,17 +607,12 @@
 					io.WriteString(c, okAnswer)
 				}
 			}))
-			dialling, gate := make(chan bool, 1), make(chan bool)
-			p.dialer.ControlContext = func(context.Context, string, string, syscall.RawConn) error {
-				dialling <- true
-				<-gate
-				return nil
-			}
+			dialling, release := holdDials(p)
 			results := make(chan result, 1)
 			go func() { results <- try(t, p, enough) }()
 			wait(t, dialling, "the dial")
 			change(p)
-			close(gate)
+			release()
 			if res := wait(t, results, "the outcome"); res.code != decide.Moot || len(got) > 0 || p.open != 0 {
 				t.Errorf("outcome %d, %d requests at the server, %d connections open, want Moot and none", res.code, len(got), p.open)
 			}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -56,29 +56,53 @@
 // server's own reader hears of that too, but only when it runs, and of nothing
 // behind the first byte that follows a request.
 func (c client) left() bool {
-	if c.raw == nil {
-		return false
+	unread, over := glance(c.raw)
+	if unread { // what it said says nothing of what came behind it
+		over = polled(c.raw, unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR|unix.POLLNVAL) != 0
 	}
-	over := false
-	err := c.raw.Control(func(fd uintptr) {
+	return over
+}
+
+// rawOf is the socket of a connection or a listener, nil where there is none to ask.
+func rawOf(c any) syscall.RawConn {
+	if sc, ok := c.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			return raw
+		}
+	}
+	return nil
+}
+
+// glance tells, and takes nothing, whether bytes lie unread on a connection,
+// else whether the other side has ended its sending or the connection is
+// broken. Of no socket it tells neither.
+func glance(raw syscall.RawConn) (unread, over bool) {
+	if raw == nil {
+		return false, false
+	}
+	err := raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case n > 0 && err == nil: // what it said says nothing of what came behind it
-			over = hungUp(fd)
-		case n == 0 && err == nil:
-			over = true
-		default:
-			over = !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+		for errors.Is(err, syscall.EINTR) {
+			n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		}
+		unread = n > 0 && err == nil
+		over = n == 0 && err == nil || err != nil && !errors.Is(err, syscall.EAGAIN)
 	})
-	return over || err != nil
+	return unread, over || err != nil
 }
 
-// hungUp tells whether the other side of a connection has ended its sending,
-// whatever of that is still unread.
-func hungUp(fd uintptr) bool {
-	one := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-	n, err := unix.Poll(one, 0)
-	return err == nil && n == 1 && one[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+// polled is what the kernel tells of a socket at once: POLLNVAL if it is closed, 0 of none.
+func polled(raw syscall.RawConn, events int16) int16 {
+	if raw == nil {
+		return 0
+	}
+	one := []unix.PollFd{{Events: events}}
+	if err := raw.Control(func(fd uintptr) {
+		one[0].Fd = int32(fd)
+		unix.Poll(one, 0) // an error leaves nothing told
+	}); err != nil {
+		return unix.POLLNVAL
+	}
+	return one[0].Revents
 }
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -60,6 +60,18 @@
 	}
 }
 
+// following runs a discovery from a version on until the test's end, before
+// what was cleaned up for earlier, and gives its lists.
+func following(t *testing.T, s *httptest.Server, times listTimes, index uint64) <-chan list {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	lists := make(chan list, 10)
+	d := newDiscovery(s.Listener.Addr().String(), times, quiet, func(l list) { lists <- l }, func() { t.Error("told a failure") })
+	d.index = index
+	go d.follow(ctx)
+	return lists
+}
+
 // TestFollowSurvives: a discovery that fails in one way after another gets
 // the version last seen each time, and its news arrive.
 func TestFollowSurvives(t *testing.T) {
@@ -83,21 +95,11 @@
 			<-r.Context().Done()
 		}
 	}))
-	defer s.Close()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	lists := make(chan list, 10)
-	d := newDiscovery(s.Listener.Addr().String(), planLists(agent, 2*time.Second), quiet, func(l list) { lists <- l }, func() { t.Error("told a failure") })
-	d.index = 41
-	d.times.hold = time.Millisecond
-	go d.follow(ctx)
-	select {
-	case l := <-lists:
-		if l.Index != 43 || l.Snapshot || len(l.Entries) != 1 {
-			t.Errorf("%+v", l)
-		}
-	case <-time.After(enough):
-		t.Fatal("no list comes")
+	t.Cleanup(s.Close)
+	times := planLists(agent, 2*time.Second)
+	times.hold = time.Millisecond
+	if l := wait(t, following(t, s, times, 41), "a list"); l.Index != 43 || l.Snapshot || len(l.Entries) != 1 {
+		t.Errorf("%+v", l)
 	}
 	for i := range 6 {
 		want := "41"
@@ -410,17 +412,13 @@
 					<-r.Context().Done()
 				}
 			}))
-			defer s.Close()
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
-			lists := make(chan list, 10)
-			d := newDiscovery(s.Listener.Addr().String(), planLists(agent, 500*time.Millisecond), quiet, func(l list) { lists <- l }, func() {})
-			holds, most := []string{"2000", "0", "0", "0", "2000"}, lateTold+heldTold
-			if d.index = 41; strings.Contains(name, "new address") { // which counts 4 s after the order to go there
-				d.index, holds, most = 0, []string{"", "", "", "", "2000"}, 4*time.Second
+			t.Cleanup(s.Close)
+			index, holds, most := uint64(41), []string{"2000", "0", "0", "0", "2000"}, lateTold+heldTold
+			if strings.Contains(name, "new address") { // which counts 4 s after the order to go there
+				index, holds, most = 0, []string{"", "", "", "", "2000"}, 4*time.Second
 			}
 			began := time.Now()
-			go d.follow(ctx)
+			lists := following(t, s, planLists(agent, 500*time.Millisecond), index)
 			if l := wait(t, lists, "the drain"); l.Index != 43 {
 				t.Errorf("list %d, want 43", l.Index)
 			}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -37,8 +37,8 @@
 	most   int // connections
 	health string
 	times  times
-	plan   func() stopPlan                                               // of a stop ordered now
-	linger func(open func() int, since func() time.Duration, p stopPlan) // serves on until clients are asked to close
+	plan   func() stopPlan                                      // of a stop ordered now
+	linger func(open func() int, ordered time.Time, p stopPlan) // serves on until clients are asked to close
 	// read checks a request. The status goes with the error.
 	read    func(w http.ResponseWriter, r *http.Request) (*taken, int, error)
 	ready   atomic.Bool
@@ -63,8 +63,8 @@
 		over: make(chan struct{}), linger: linger}
 }
 
-func linger(open func() int, since func() time.Duration, p stopPlan) {
-	for t := since(); t < p.accept || open() > 0 && t < p.leave; t = since() {
+func linger(open func() int, ordered time.Time, p stopPlan) {
+	for t := time.Since(ordered); t < p.accept || open() > 0 && t < p.leave; t = time.Since(ordered) {
 		time.Sleep(stopTick)
 	}
 }
@@ -115,7 +115,7 @@
 	f.endsAt.Store(ordered.Add(plan.answer).UnixNano())
 	over := time.AfterFunc(plan.answer, func() { close(f.over) })
 	defer over.Stop()
-	f.linger(limited.open, func() time.Duration { return time.Since(ordered) }, plan)
+	f.linger(limited.open, ordered, plan)
 	f.leaving.Store(true)
 	limited.leave(func() bool { return time.Since(ordered) < plan.answer })
 	<-failed // as the listener has closed
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -60,15 +59,7 @@
 		},
 		// The connection to its server is long in coming, and the module may
 		// not call an attempt off.
-		"a dial": func(t *testing.T, n *running) (<-chan struct{}, func()) {
-			dialling, gate := make(chan struct{}, 100), make(chan struct{})
-			n.backends.dialer.ControlContext = func(context.Context, string, string, syscall.RawConn) error {
-				dialling <- struct{}{}
-				<-gate
-				return nil
-			}
-			return dialling, func() { close(gate) }
-		},
+		"a dial": func(t *testing.T, n *running) (<-chan struct{}, func()) { return holdDials(n.backends) },
 	} {
 		for effect := range classes {
 			for how, leave := range goings {
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -59,11 +59,7 @@
 			time.Sleep(time.Millisecond) // some connection may be about to have its answer
 		}
 		if room {
-			lc := &limitedConn{Conn: c, of: l}
-			if sc, ok := c.(syscall.Conn); ok {
-				lc.raw, _ = sc.SyscallConn() // nil where there is no socket
-			}
-			return lc, nil
+			return &limitedConn{Conn: c, raw: rawOf(c), of: l}, nil
 		}
 		c.Close()
 	}
@@ -125,7 +121,7 @@
 // lets those end that carry nothing. What the kernel has accepted counts as
 // taken; it is waited for while more allows.
 func (l *limited) leave(more func() bool) {
-	for queued(l.Listener) && more() {
+	for polled(rawOf(l.Listener), unix.POLLIN)&unix.POLLIN != 0 && more() {
 		time.Sleep(time.Millisecond)
 	}
 	l.Listener.Close()
@@ -154,25 +150,6 @@
 	}
 }
 
-// queued tells whether connections are made that have not been accepted yet.
-func queued(ln net.Listener) bool {
-	sc, ok := ln.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	waiting := false
-	err = raw.Control(func(fd uintptr) {
-		one := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, err := unix.Poll(one, 0)
-		waiting = err == nil && n == 1 && one[0].Revents&unix.POLLIN != 0
-	})
-	return err == nil && waiting
-}
-
 // evict gives up the connection that is least likely to be missed, for the
 // caller to close once it has let go of mu: of those that have been silent for
 // long, else of those between requests, else of those that have not spoken
@@ -286,16 +263,8 @@
 
 // pending tells whether something has come that has not been read.
 func (c *limitedConn) pending() bool {
-	if c.raw == nil {
-		return false
-	}
-	some := false
-	err := c.raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		some = err == nil && n > 0
-	})
-	return err == nil && some
+	unread, _ := glance(c.raw)
+	return unread
 }
 
 // end gives the slot back, once, and nothing is read from then on. The caller
--- a/internal/node/listener_test.go
+++ b/internal/node/listener_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -13,11 +12,7 @@
 // TestSilentClientsGiveWay: clients that connect by hundreds and say nothing
 // must neither shut out one that asks nor wait unheard.
 func TestSilentClientsGiveWay(t *testing.T) {
-	n := startNode(t, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
-		for readRequest(r) != nil {
-			io.WriteString(c, okAnswer)
-		}
-	}))
+	n := startNode(t, serving(t))
 	most := n.front.most
 	var silent []raw
 	for i := range 2 * most {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -96,7 +96,7 @@
 	n := &running{Node: New(cfg, quiet), address: ln.Addr().String(), stop: stop, ended: make(chan error, 1), accepting: accepting}
 	lingered := make(chan struct{})
 	n.linger = sync.OnceFunc(func() { close(lingered) })
-	n.front.linger = func(func() int, func() time.Duration, stopPlan) { <-lingered }
+	n.front.linger = func(func() int, time.Time, stopPlan) { <-lingered }
 	n.front.plan = func() stopPlan { return planStop(2*enough, false) } // tests that are not about it have time
 	go func() { n.ended <- n.Run(ctx, accepting) }()
 	t.Cleanup(func() {
@@ -313,15 +313,7 @@
 		t.Errorf("the client got %v", err)
 	}
 	wait(t, gone, "the attempt's end")
-	left := make(chan int, 1)
-	for until := time.Now().Add(enough); ; time.Sleep(time.Millisecond) {
-		n.post(func() { left <- len(n.requests) })
-		if k := <-left; k == 0 {
-			break
-		} else if time.Now().After(until) {
-			t.Fatalf("%d requests are left behind", k)
-		}
-	}
+	n.idle(t)
 }
 
 func TestBadRequests(t *testing.T) {
@@ -443,11 +435,7 @@
 // TestStopKeepsServing: clients that have connections may have no other node
 // just now, so a node that was told to stop serves them until its time is up.
 func TestStopKeepsServing(t *testing.T) {
-	n := startNode(t, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
-		for readRequest(r) != nil {
-			io.WriteString(c, okAnswer)
-		}
-	}))
+	n := startNode(t, serving(t))
 	c := n.dial(t)
 	ask := func(id string) *http.Response {
 		t.Helper()
@@ -464,9 +452,7 @@
 	}
 	ask("before")
 	n.stop()
-	for until := time.Now().Add(enough); n.front.endsAt.Load() == 0 && time.Now().Before(until); {
-		time.Sleep(time.Millisecond)
-	}
+	waitUntil(t, "the order to stop", func() bool { return n.front.endsAt.Load() != 0 })
 	if resp := ask("after"); resp.Close {
 		t.Error("the client is told to close while the node can still serve it")
 	}
--- a/internal/node/sidecar_test.go
+++ b/internal/node/sidecar_test.go
@@ -79,7 +79,7 @@
 	if b.Sidecar, err = NewSidecar(a, 1, slog.New(slog.NewTextHandler(b.log, nil))); err != nil {
 		t.Fatal(err)
 	}
-	b.front.linger = func(func() int, func() time.Duration, stopPlan) {}
+	b.front.linger = func(func() int, time.Time, stopPlan) {}
 	ctx, stop := context.WithCancel(context.Background())
 	b.stop = stop
 	go func() { b.done <- b.Run(ctx, ln) }()
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -1,10 +1,8 @@
 package node
 
 import (
-	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"testing"
 	"time"
 )
@@ -59,15 +57,6 @@
 	}
 }
 
-// serving answers all that it is asked.
-func serving(t *testing.T) string {
-	return backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
-		for readRequest(r) != nil {
-			io.WriteString(c, okAnswer)
-		}
-	})
-}
-
 // TestStopTakesWhatTheKernelAccepted: a connection is made, and its request is
 // sent, before the listener closes, and the node gets to it only then.
 func TestStopTakesWhatTheKernelAccepted(t *testing.T) {
