What was decided is looked at again right before its first byte is sent

Seen: in a review of what lies between the decision to send and the first byte, each order forced by hand (connections held while they come up, a hook right before the write). TestOvertaken: with a connection at hand, a server that goes, moves, restarts, a request that has its answer, an attempt called off: all were still sent.

Ruled out: that the module decides so. maySend sends to ready servers only and keeps to the window at the time of the decision (rules_test.go).

At fault: pool.attempt looked at the deadline and the client alone after the connection was there; pool.connect looked for a new process before it handed the connection over, pool.take not at all afterwards; owner.follow told the pool of no drain; nothing knew the window after the decision; cancelling came by a goroutine that lost the race with the write.

Change: one look right before the write, at the client, the final answer, the server's place in the list, the attempt's end and the window's; a draining server is no server of the pool's. What is found too late was never sent, which the module is told as before.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -115,6 +116,7 @@
 	p.backends[id] = &backend{address: address, since: since}
 }
 
+// remove has nothing new sent to a server. What is out at it goes on.
 func (p *pool) remove(id decide.ServerID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -178,13 +180,6 @@
 		return nil, err
 	}
 	c := &conn{Conn: raw, of: b, pool: p}
-	p.mu.Lock()
-	stale := b.closed
-	p.mu.Unlock()
-	if stale { // the list has named another process, or none, while this one was dialled
-		c.discard()
-		return nil, errNotListed
-	}
 	c.budget.R = c
 	c.read = bufio.NewReader(&c.budget)
 	return c, nil
@@ -259,6 +254,13 @@
 	c.pool.mu.Unlock()
 }
 
+// stale tells whether the list names this process no more, or wants nothing new sent to it.
+func (c *conn) stale() bool {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	return c.of.closed
+}
+
 // release puts a connection back that has been read cleanly to its end.
 func (c *conn) release() {
 	c.SetDeadline(time.Time{})
@@ -289,8 +291,12 @@
 	header http.Header // end to end ones
 	body   []byte
 	left   func() bool // whether the client has gone, so that it need not be sent; nil: that is not known
+	over   atomic.Bool // it has its final answer
 }
 
+// unwanted tells whether nobody waits for a server's answer any more.
+func (o *outbound) unwanted() bool { return o.left != nil && o.left() || o.over.Load() }
+
 // bytes writes the request in full, so that one write sends it and its result
 // tells whether the last byte left.
 func (o *outbound) bytes(wait time.Duration) ([]byte, error) {
@@ -318,10 +324,10 @@
 	body     []byte
 }
 
-// attempt sends a request once and waits for its answer until ctx ends. When
-// it returns, its connection is closed or back in the pool, so that a further
+// attempt sends a request once and waits for its answer until ctx ends. It does
+// not begin to send from by on, unless that is zero. When it returns, its connection is closed or back in the pool, so that a further
 // attempt cannot overlap it.
-func (p *pool) attempt(ctx context.Context, id decide.ServerID, o *outbound) result {
+func (p *pool) attempt(ctx context.Context, id decide.ServerID, o *outbound, by time.Time) result {
 	end, ok := ctx.Deadline()
 	if !ok {
 		return result{code: decide.Moot} // an attempt without an end could hang for ever
@@ -334,8 +340,9 @@
 	if err != nil {
 		return result{code: unsent(ctx, err)}
 	}
-	// The connection may have been long in coming.
-	if !time.Now().Before(end) || o.left != nil && o.left() {
+	// The connection may have been long in coming, and what was decided before
+	// may not be right any more: the list may name another process, or none.
+	if o.unwanted() || c.stale() || ctx.Err() != nil || !time.Now().Before(end) || !by.IsZero() && !time.Now().Before(by) {
 		c.release() // nothing was sent on it
 		return result{code: decide.Moot}
 	}
--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -13,6 +13,8 @@
 	"os"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -92,13 +94,17 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
-	return p.attempt(ctx, 1, get("/api/x"))
+	return p.attempt(ctx, 1, get("/api/x"), time.Time{})
 }
 
-// holdDials has each dial of a pool wait until release.
-func holdDials(p *pool) (dialling <-chan struct{}, release func()) {
+// holdDials has each dial of a pool, but for some first ones, wait until release.
+func holdDials(p *pool, free int32) (dialling <-chan struct{}, release func()) {
 	begun, gate := make(chan struct{}, 100), make(chan struct{})
+	var dials atomic.Int32
 	p.dialer.ControlContext = func(context.Context, string, string, syscall.RawConn) error {
+		if dials.Add(1) <= free {
+			return nil
+		}
 		begun <- struct{}{}
 		<-gate
 		return nil
@@ -358,7 +364,7 @@
 		} else {
 			go func() { <-got; cancel() }()
 		}
-		res := p.attempt(ctx, 1, get("/api/x"))
+		res := p.attempt(ctx, 1, get("/api/x"), time.Time{})
 		cancel()
 		if res.code != want {
 			t.Errorf("%s: outcome %d, want %d", name, res.code, want)
@@ -590,32 +596,62 @@
 	return p.connect(context.Background(), b)
 }
 
-// TestDialOutlivesItsServer: while a connection comes up the list names another
-// process of its server, or none. Nothing new goes to the old one, and as
-// nothing was sent the request may go elsewhere.
-func TestDialOutlivesItsServer(t *testing.T) {
-	for name, change := range map[string]func(p *pool){
-		"gone":      func(p *pool) { p.remove(1) },
-		"restarted": func(p *pool) { p.set(1, p.backends[1].address, 7) },
-		"moved":     func(p *pool) { p.set(1, "127.0.0.1:1", 0) },
+// TestOvertaken: between the decision to send a request and its first byte,
+// while a connection comes up or once it is at hand, something makes the
+// decision wrong. Nothing is sent, and as nothing was the request may go
+// elsewhere.
+func TestOvertaken(t *testing.T) {
+	const lapses = "it may not be sent any more"
+	for name, change := range map[string]func(p *pool, o *outbound, cancel func()){
+		"the server is gone or drains": func(p *pool, _ *outbound, _ func()) { p.remove(1) },
+		"the server restarted":         func(p *pool, _ *outbound, _ func()) { p.set(1, p.backends[1].address, 7) },
+		"the server moved":             func(p *pool, _ *outbound, _ func()) { p.set(1, "127.0.0.1:1", 0) },
+		"the request has its answer":   func(_ *pool, o *outbound, _ func()) { o.over.Store(true) },
+		"the attempt is called off":    func(_ *pool, _ *outbound, cancel func()) { cancel() },
+		lapses:                         func(*pool, *outbound, func()) {}, // the time is over from the start
 	} {
-		t.Run(name, func(t *testing.T) {
-			got := make(chan bool, 1)
-			p := testPool(backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
-				if readRequest(r) != nil {
-					got <- true
-					io.WriteString(c, okAnswer)
+		for _, dials := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, dials %v", name, dials), func(t *testing.T) {
+				t.Parallel()
+				got := make(chan bool, 10)
+				p := testPool(backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+					for readRequest(r) != nil {
+						got <- true
+						io.WriteString(c, okAnswer)
+					}
+				}))
+				if !dials {
+					if res := try(t, p, enough); res.code != decide.OK {
+						t.Fatalf("outcome %d, want an idle connection", res.code)
+					}
+					<-got
 				}
-			}))
-			dialling, release := holdDials(p)
-			results := make(chan result, 1)
-			go func() { results <- try(t, p, enough) }()
-			wait(t, dialling, "the dial")
-			change(p)
-			release()
-			if res := wait(t, results, "the outcome"); res.code != decide.Moot || len(got) > 0 || p.open != 0 {
-				t.Errorf("outcome %d, %d requests at the server, %d connections open, want Moot and none", res.code, len(got), p.open)
-			}
-		})
+				ctx, cancel := context.WithTimeout(context.Background(), enough)
+				defer cancel()
+				o, once := get("/api/x"), sync.Once{}
+				change := func() { once.Do(func() { change(p, o, cancel) }) }
+				o.left = func() bool { change(); return false } // asked right before the first byte
+				if dials {
+					p.dialer.ControlContext = func(context.Context, string, string, syscall.RawConn) error {
+						change()
+						return nil
+					}
+				}
+				var by time.Time
+				if name == lapses {
+					by = time.Now()
+				}
+				if res := p.attempt(ctx, 1, o, by); res.code != decide.Moot {
+					t.Errorf("outcome %d, want Moot", res.code)
+				}
+				p.mu.Lock()
+				p.maxIdle = 0
+				p.mu.Unlock()
+				p.expire(time.Now())
+				if len(got) > 0 || p.open != 0 {
+					t.Errorf("%d requests at the server, %d connections left, want none", len(got), p.open)
+				}
+			})
+		}
 	}
 }
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -59,7 +59,7 @@
 		},
 		// The connection to its server is long in coming, and the module may
 		// not call an attempt off.
-		"a dial": func(t *testing.T, n *running) (<-chan struct{}, func()) { return holdDials(n.backends) },
+		"a dial": func(t *testing.T, n *running) (<-chan struct{}, func()) { return holdDials(n.backends, 0) },
 	} {
 		for effect := range classes {
 			for how, leave := range goings {
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -47,12 +47,20 @@
 	deadline time.Time
 	answer   chan answer // takes the one final answer
 	done     bool
-	attempts []context.CancelFunc
+	attempts []sent
 	running  int
+	window   time.Duration // of a keyed class: how long after the first send that may have run another one may be written; 0: any time
 	guard    *time.Timer
 	passable answer // a server's own account of its failure, where that may be passed on
 }
 
+// sent is an attempt as its owner sees it.
+type sent struct {
+	cancel context.CancelFunc
+	at     time.Time
+	never  bool // it has surely not run
+}
+
 // answer is a final answer to a client.
 type answer struct {
 	status  int
@@ -148,7 +156,7 @@
 		n.giveUp(a.ID, answer{status: http.StatusBadGateway})
 	case decide.CancelAttempt:
 		if r := n.requests[a.ID]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.attempts) {
-			r.attempts[a.Attempt]()
+			r.attempts[a.Attempt].cancel()
 		}
 	case decide.SetTimer:
 		time.AfterFunc(a.After, func() { n.post(func() { n.handle(decide.TimerFired{Token: a.Token}) }) })
@@ -192,6 +200,9 @@
 		return
 	}
 	n.requests[r.id] = r
+	if i := slices.IndexFunc(n.set.Classes, func(c decide.Class) bool { return c.Name == e.Class }); i >= 0 && n.set.Classes[i].Effect == decide.Keyed {
+		r.window = n.set.Classes[i].DedupWindow
+	}
 	// The module ends a request at its deadline. The guard is for one that it
 	// does not end, as an answer in time is owed whatever it does.
 	r.guard = time.AfterFunc(e.Patience+guardDelay, func() { n.post(func() { n.overdue(r) }) })
@@ -204,8 +215,8 @@
 		return
 	}
 	n.finish(r.id, spent(r))
-	for _, cancel := range r.attempts {
-		cancel() // a module that lost the request does not call them off
+	for _, a := range r.attempts {
+		a.cancel() // a module that lost the request does not call them off
 	}
 	n.handle(decide.RequestAbandoned{ID: r.id})
 }
@@ -247,6 +258,7 @@
 
 func (n *owner) close(r *request) {
 	r.done = true
+	r.out.over.Store(true)
 	r.guard.Stop()
 	n.forget(r)
 }
@@ -272,24 +284,38 @@
 		left = min(left, a.Timeout)
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, left)
-	r.attempts = append(r.attempts, cancel)
+	began, by := time.Now(), r.writeBy()
+	r.attempts = append(r.attempts, sent{cancel: cancel, at: began})
 	if r.done || r.running > 0 && !n.set.MayOverlap {
 		cancel()
+		r.attempts[number].never = true
 		n.queue = append(n.queue, decide.AttemptEnded{ID: r.id, Attempt: number, Server: a.Server, Over: r.done, Code: decide.Moot})
 		return
 	}
 	r.running++
-	began := time.Now()
 	server := instead(n, a.Server)
 	go func() {
 		defer cancel()
-		attempt := func() result { return n.backends.attempt(ctx, server, r.out) }
+		attempt := func() result { return n.backends.attempt(ctx, server, r.out, by) }
 		res := afterAttempt(attempt, attempt())
 		took := time.Since(began)
 		n.post(func() { n.attemptEnded(r, number, a.Server, took, res) })
 	}()
 }
 
+// writeBy is the moment from which the request may not be sent any more, as
+// servers may have forgotten by then what they have run of it; zero: there is
+// none. The module keeps to it when it decides, but a connection may be long
+// in coming.
+func (r *request) writeBy() (by time.Time) {
+	for _, a := range r.attempts {
+		if r.window > 0 && !a.never && (by.IsZero() || a.at.Add(r.window).Before(by)) {
+			by = a.at.Add(r.window)
+		}
+	}
+	return by
+}
+
 // outlived ends a request whose time is over, or whose client has gone, before
 // it is sent. The owner may hear of either only now: a process that has stood
 // still finds its timers, its clients' ends and its own decisions in any order.
@@ -300,6 +326,7 @@
 
 func (n *owner) attemptEnded(r *request, number int, server decide.ServerID, took time.Duration, res result) {
 	r.running--
+	r.attempts[number].never = res.code == decide.Moot || res.code == decide.ConnectFailed || res.code == decide.Full
 	served := answer{status: res.status, served: true, header: res.header, body: res.body}
 	switch {
 	case res.code == decide.OK:
@@ -341,7 +368,11 @@
 			Size: e.Weight, StartedAt: time.Duration(startedAt(e)) * time.Millisecond})
 		if missing[e.Name] = state == decide.Gone; state != decide.Gone {
 			n.listed[e.Name] = id
-			n.backends.set(id, e.Address, e.SinceMS)
+			if state == decide.Ready {
+				n.backends.set(id, e.Address, e.SinceMS)
+			} else { // nor may what was decided before, and waits for its connection, reach it any more
+				n.backends.remove(id)
+			}
 		}
 	}
 	n.handle(u)
