A draining server is listed and is not in the pool, and the test says so

TestFollowSetsAddresses wanted the address of a draining server in the pool, which was what let a connection that came up late carry a request there. It now wants that only ready servers are there, and in addition that one which is ready again returns and one that begins to drain goes.

--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -160,29 +160,31 @@
 		}
 		n.follow(l.Entries, l.Index, kind)
 	}
-	check := func(when string, want map[string]string) {
+	check := func(when string, listed int, want map[string]string) {
 		t.Helper()
-		if len(n.listed) != len(want) || len(n.backends.backends) != len(want) {
-			t.Errorf("%s: %d listed, %d in the pool, want %d", when, len(n.listed), len(n.backends.backends), len(want))
+		if len(n.listed) != listed || len(n.backends.backends) != len(want) {
+			t.Errorf("%s: %d listed, %d in the pool, want %d and %d", when, len(n.listed), len(n.backends.backends), listed, len(want))
 		}
 		for name, address := range want {
 			if b := n.backends.backends[n.listed[name]]; b == nil || b.address != address {
 				t.Errorf("%s: %s is at %+v, want %s", when, name, b, address)
 			}
 		}
-		if n.front.ready.Load() != (len(want) > 0) {
+		if n.front.ready.Load() != (listed > 0) {
 			t.Errorf("%s: ready is wrong", when)
 		}
 	}
-	check("at the start", nil)
+	check("at the start", 0, nil)
 	apply(decide.ListCached, entryJSON("a", "127.0.0.1:1", "ready"), entryJSON("b", "127.0.0.1:2", "draining"))
-	check("cached", map[string]string{"a": "127.0.0.1:1", "b": "127.0.0.1:2"})
+	check("cached", 2, map[string]string{"a": "127.0.0.1:1"}) // nothing new goes to one that drains
+	apply(decide.ListChanges, entryJSON("a", "127.0.0.1:1", "draining"), entryJSON("b", "127.0.0.1:2", "ready"))
+	check("the other way round", 2, map[string]string{"b": "127.0.0.1:2"})
 	apply(decide.ListChanges, entryJSON("a", "127.0.0.1:3", "ready"), entryJSON("b", "", "gone"), entryJSON("c", "", "gone"))
-	check("changes", map[string]string{"a": "127.0.0.1:3"})
+	check("changes", 1, map[string]string{"a": "127.0.0.1:3"})
 	apply(decide.ListFull, entryJSON("d", "127.0.0.1:4", "ready"))
-	check("full", map[string]string{"d": "127.0.0.1:4"})
+	check("full", 1, map[string]string{"d": "127.0.0.1:4"})
 	apply(decide.ListFull)
-	check("empty", nil)
+	check("empty", 0, nil)
 }
 
 // listServer is a discovery with one list, which it gives to who has another
