An answer is never cut short where its budget ends, and small chunks fit in it

And one of 64 KiB in chunks of one byte was taken for a failure ("outcome 1, body of 0 bytes, want 0 and 65536").

At fault: pool.attempt gave head and body one budget of 80 KiB, at whose end io.LimitedReader tells the end of the connection; a body without a length is whole there. Now the head has a budget of its own, and the body's is wide enough that what is too long is seen to be, in whatever pieces it comes.

Ruled out by the same test: an answer without a length that is reset, before its first byte or after it, counts as reset. TestUnreadIsNoReasonToClose: a resting connection on which a request lies unread does not give way.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -28,6 +28,7 @@
 const (
 	maxBody    = 64 << 10 // of a request or an answer
 	maxHead    = 16 << 10 // of an answer
+	inChunks   = 8        // bytes that each of a body may take on its connection: in chunks of one byte it takes six
 	maxInfos   = 8        // 1xx answers ahead of the real one
 	leastSpare = 2        // idle connections that a server keeps at least
 	idlePart   = 0.75     // of the settings' idle time: the server must never be the first to close
@@ -356,7 +357,6 @@
 		}
 		return result{code: ending(ctx, err)} // a last byte that left with an error may have come
 	}
-	c.budget.N = int64(maxHead + p.maxBody)
 	res, clean, err := c.receive(o.method)
 	if err != nil {
 		c.discard()
@@ -405,6 +405,7 @@
 // receive reads one answer to its end; clean tells that the connection can
 // carry another request.
 func (c *conn) receive(method string) (res result, clean bool, err error) {
+	c.budget.N = maxHead
 	var resp *http.Response
 	for i := 0; ; i++ {
 		resp, err = http.ReadResponse(c.read, &http.Request{Method: method})
@@ -421,6 +422,9 @@
 	// The body is never closed: that would read it to an end that may not come.
 	res.report = parseLoad(resp.Header.Get("X-Load"))
 	most := c.pool.maxBody
+	// Where the budget is spent a body would seem to end. This leaves enough for
+	// one that is too long to be seen as such.
+	c.budget.N += inChunks * (int64(most) + 1)
 	if resp.ContentLength > int64(most) && method != http.MethodHead {
 		return res, false, fmt.Errorf("an answer of %d bytes is announced", resp.ContentLength)
 	}
--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -157,6 +157,45 @@
 	}
 }
 
+// TestWholeOrNot: an answer that says nothing of its length is whole when its
+// connection ends, unless that ends in a reset, and is never cut short here;
+// one of the greatest length is taken in whatever pieces it comes.
+func TestWholeOrNot(t *testing.T) {
+	most := strings.Repeat("x", maxBody)
+	head := "X-Long: " + strings.Repeat("y", maxHead*9/10) + "\r\n"
+	pieces := strings.Repeat("1\r\nx\r\n", maxBody) + "0\r\n\r\n"
+	for _, c := range []struct {
+		name, answer string
+		reset        bool
+		want         decide.OutcomeCode
+		body         string
+	}{
+		{"ends", "HTTP/1.1 200 OK\r\n\r\nhi", false, decide.OK, "hi"},
+		{"is reset", "HTTP/1.1 200 OK\r\n\r\nhi", true, decide.Reset, ""},
+		{"is reset before its first byte", "HTTP/1.1 200 OK\r\n\r\n", true, decide.Reset, ""},
+		{"the longest", "HTTP/1.1 200 OK\r\n" + head + "\r\n" + most, false, decide.OK, most},
+		{"longer than that", "HTTP/1.1 200 OK\r\n" + head + "\r\n" + most + "x", false, decide.ServerError, ""},
+		{"a head too long, then a body", "HTTP/1.1 200 OK\r\n" + head + head + "\r\n" + most[:maxBody*9/10], false, decide.ServerError, ""},
+		{"the longest in small chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + head + "\r\n" + pieces, false, decide.OK, most},
+		{"small chunks that never end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\nx\r\n", 2*maxBody), false, decide.ServerError, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			p := testPool(backendServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				if readRequest(r) != nil {
+					io.WriteString(conn, c.answer)
+				}
+				if c.reset {
+					conn.(*net.TCPConn).SetLinger(0)
+				}
+			}))
+			if got := try(t, p, enough); got.code != c.want || string(got.body) != c.body {
+				t.Errorf("outcome %d, body of %d bytes, want %d and %d", got.code, len(got.body), c.want, len(c.body))
+			}
+		})
+	}
+}
+
 func TestRefusedConnectionNeverRan(t *testing.T) {
 	if got := try(t, testPool(refusing(t)), enough); got.code != decide.ConnectFailed {
 		t.Errorf("outcome %d, want ConnectFailed", got.code)
--- a/internal/node/listener_test.go
+++ b/internal/node/listener_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -85,3 +86,55 @@
 		t.Error("a request reached a server")
 	}
 }
+
+// TestUnreadIsNoReasonToClose: a connection that has rested for long gives way
+// to a new one, but not when a request has come on it in that instant, which
+// the node has not read.
+func TestUnreadIsNoReasonToClose(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := limitListener(ln, 1)
+	srv := &http.Server{ConnState: l.note, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })}
+	go srv.Serve(l)
+	defer srv.Close()
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(enough))
+	read := bufio.NewReader(conn)
+	const text = "GET / HTTP/1.1\r\nHost: app.svc\r\n\r\n"
+	ask := func() {
+		t.Helper()
+		resp, err := http.ReadResponse(read, nil)
+		if err != nil {
+			t.Fatal("no answer: ", err)
+		}
+		io.Copy(io.Discard, resp.Body)
+	}
+	io.WriteString(conn, text)
+	ask()
+	var resting *limitedConn
+	waitUntil(t, "the connection to rest", func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for c, u := range l.unused {
+			if u.spoken {
+				resting = c
+			}
+		}
+		return resting != nil
+	})
+	l.mu.Lock() // from here on nothing is read
+	io.WriteString(conn, text)
+	waitUntil(t, "the request to lie unread", func() bool { return resting.pending() })
+	worst := l.evict(time.Now().Add(time.Hour))
+	l.mu.Unlock()
+	if worst != nil {
+		t.Error("the connection gives way")
+	}
+	ask()
+}
