An answer that is written after clients are asked to close asks its own client too

A client that comes again at once sends its next request into that close, and loses it or has to send it once more.

At fault: frontend.ServeHTTP set Connection: close as a request began, and frontend.write, which answers it up to a second later, did not look again.

Ruled out: that the answer itself is lost by it; net/http has written it before limited.note closes the connection.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -332,6 +332,9 @@
 	for name, values := range endToEnd(a.header) {
 		h[name] = values
 	}
+	if f.leaving.Load() { // maybe only since it was taken
+		h.Set("Connection", "close")
+	}
 	if !a.served {
 		a.body = []byte(http.StatusText(a.status) + "\n")
 		h.Set("Content-Type", "text/plain; charset=utf-8")
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 )
@@ -104,3 +107,31 @@
 		t.Errorf("the node ends with %v", err)
 	}
 }
+
+// TestStopTellsWhoeverItAnswers: a request was taken before clients are asked to
+// close and is answered after. The answer asks, too: else its client could send
+// the next request on a connection that is being closed.
+func TestStopTellsWhoeverItAnswers(t *testing.T) {
+	got, gate := make(chan struct{}, 1), make(chan struct{})
+	n := startNode(t, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if readRequest(r) != nil {
+			got <- struct{}{}
+			<-gate
+			io.WriteString(c, okAnswer)
+		}
+	}))
+	c := n.dial(t)
+	c.ask(t, "saldo", "q", "60")
+	wait(t, got, "the attempt")
+	n.stop()
+	n.linger()
+	waitUntil(t, "the clients to be asked", n.front.leaving.Load)
+	close(gate)
+	resp, err := http.ReadResponse(c.read, nil)
+	if err != nil || resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("%+v, %v, want 200 and the connection's end", resp, err)
+	}
+	if err := wait(t, n.ended, "the node's end"); err != nil {
+		t.Errorf("the node ends with %v", err)
+	}
+}
