--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -135,3 +136,43 @@
 		t.Errorf("the node ends with %v", err)
 	}
 }
+
+// TestStopCutsASlowReaderVisibly: an answer is being written to a client that
+// does not read when the node's time is over. What the client finds later is
+// the whole answer, or can be told from one.
+func TestStopCutsASlowReaderVisibly(t *testing.T) {
+	long := strings.Repeat("x", maxBody)
+	n := startNode(t, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for readRequest(r) != nil {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long)
+		}
+	}))
+	n.front.plan = func() stopPlan { return stopPlan{answer: 100 * time.Millisecond, end: 200 * time.Millisecond} }
+	c := n.dial(t)
+	if err := c.SetReadBuffer(2048); err != nil {
+		t.Fatal(err)
+	}
+	n.conn(t, c)
+	accepted, _ := n.accepting.conns.Load(c.name)
+	if err := accepted.(*net.TCPConn).SetWriteBuffer(2048); err != nil { // the kernel takes no answer off the node's hands
+		t.Fatal(err)
+	}
+	c.ask(t, "saldo", "q", "60")
+	if _, err := c.read.Peek(1); err != nil { // the answer has begun
+		t.Fatal(err)
+	}
+	n.stop()
+	n.linger()
+	if err := wait(t, n.ended, "the node's end"); err != nil {
+		t.Errorf("the node ends with %v", err)
+	}
+	resp, err := http.ReadResponse(c.read, nil)
+	if err != nil {
+		return // it shows
+	}
+	body, err := io.ReadAll(resp.Body)
+	if whole := string(body) == long; whole != (err == nil) {
+		t.Errorf("%d of %d bytes, %v, want all or an error", len(body), len(long), err)
+	}
+	t.Logf("%d of %d bytes, %v", len(body), len(long), err)
+}
