--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -36,10 +36,9 @@
 	// A connection rests so long after an answer. What a server says or does
 	// right behind it, noise, a second copy or a close, shows by then, and can
 	// neither answer the next request nor break it: second copies were seen 5.2 ms
-	// after the answer, and a node with little CPU reads late. Where a connection is idle
-	// that has rested for longer it goes first, as some of that comes later still; for
+	// after the answer. Where a connection is idle that has rested for longer it goes first, as some of that comes later still; for
 	// none of those is one opened, which costs its server more than it is worth.
-	restTime   = 20 * time.Millisecond
+	restTime   = 10 * time.Millisecond
 	restedTime = 50 * time.Millisecond
 )
 
