What surely never ran is told in one place, and tests share one text of a request

Read once more: owner.attemptEnded and Module.ended each had a list of the outcomes that prove that nothing ran; both now ask OutcomeCode.NeverRan. The window's end is that of the first send that may have run, as sends are kept in order. TestExtremeSettings writes its requests by the text that the other tests use. The behaviour is the same, and no assertion is changed.

--- a/decide/api.go
+++ b/decide/api.go
@@ -210,6 +210,9 @@
 	Unusable
 )
 
+// NeverRan tells whether an attempt that ended so has surely not run.
+func (c OutcomeCode) NeverRan() bool { return c == Full || c == ConnectFailed || c == Moot }
+
 // Events.
 type (
 	// RequestArrived is a new request; the module owes it one final answer.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1013,7 +1013,7 @@
 		return
 	}
 	a := &r.attempts[e.Attempt]
-	a.ended, a.mayRun = true, e.Code != Full && e.Code != ConnectFailed && e.Code != Moot
+	a.ended, a.mayRun = true, !e.Code.NeverRan()
 	if r.out--; a.uncounted && e.Code == TimedOut {
 		m.mute += failingGain * (m.due(a.server, r, overdueAt) - m.mute)
 	}
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -326,8 +326,9 @@
 }
 
 // attempt sends a request once and waits for its answer until ctx ends. It does
-// not begin to send from by on, unless that is zero. When it returns, its connection is closed or back in the pool, so that a further
-// attempt cannot overlap it.
+// not begin to send from by on, unless that is zero. When it returns, its
+// connection is closed or back in the pool, so that a further attempt cannot
+// overlap it.
 func (p *pool) attempt(ctx context.Context, id decide.ServerID, o *outbound, by time.Time) result {
 	end, ok := ctx.Deadline()
 	if !ok {
--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -719,10 +719,8 @@
 				if res := p.attempt(ctx, 1, o, by); res.code != decide.Moot {
 					t.Errorf("outcome %d, want Moot", res.code)
 				}
-				p.mu.Lock()
-				p.maxIdle = 0
-				p.mu.Unlock()
-				p.expire(time.Now())
+				for p.evict() { // what rests is no leak
+				}
 				if len(got) > 0 || p.open != 0 {
 					t.Errorf("%d requests at the server, %d connections left, want none", len(got), p.open)
 				}
--- a/internal/node/extremes_test.go
+++ b/internal/node/extremes_test.go
@@ -65,14 +65,8 @@
 			ask := func(c decide.Class, deadline time.Duration) raw {
 				conn := n.dial(t)
 				number++
-				method, extra := "POST", "Content-Length: 4\r\n\r\nrent"
-				switch c.Effect {
-				case decide.Safe:
-					method, extra = "GET", "\r\n"
-				case decide.Keyed:
-					extra = "Idempotency-Key: k\r\n" + extra
-				}
-				fmt.Fprintf(conn, "%s /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: q%d\r\nX-Class: %s\r\nX-Deadline: %.3f\r\n%s", method, number, c.Name, deadline.Seconds(), extra)
+				effect := map[decide.Effect]string{decide.Safe: "safe", decide.Keyed: "keyed", decide.Unsafe: "unsafe"}[c.Effect]
+				fmt.Fprint(conn, textOf(effect, c.Name, fmt.Sprint("q", number), fmt.Sprintf("%.3f", deadline.Seconds())))
 				return conn
 			}
 			answered := func(conn raw, when string) {
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -33,14 +33,17 @@
 	},
 }
 
-// text is a whole request.
-func text(effect, id string) string {
+// text is a whole request of the class that testConfig has for an effect.
+func text(effect, id string) string { return textOf(effect, classes[effect].class, id, "60") }
+
+// textOf is a whole request of any class of an effect.
+func textOf(effect, class, id, deadline string) string {
 	k := classes[effect]
 	body := ""
 	if k.method == http.MethodPost {
 		body = "rent"
 	}
-	return fmt.Sprintf("%s /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Deadline: 60\r\n%s\r\n%s", k.method, id, k.class, k.extra, body)
+	return fmt.Sprintf("%s /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Deadline: %s\r\n%s\r\n%s", k.method, id, class, deadline, k.extra, body)
 }
 
 // TestLeftWhileItWaited: whatever a request waits for when its client goes, and
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -307,13 +307,12 @@
 // servers may have forgotten by then what they have run of it; zero: there is
 // none. The module keeps to it when it decides, but a connection may be long
 // in coming.
-func (r *request) writeBy() (by time.Time) {
-	for _, a := range r.attempts {
-		if r.window > 0 && !a.never && (by.IsZero() || a.at.Add(r.window).Before(by)) {
-			by = a.at.Add(r.window)
-		}
+func (r *request) writeBy() time.Time {
+	first := slices.IndexFunc(r.attempts, func(a sent) bool { return !a.never }) // in the order of sending
+	if r.window <= 0 || first < 0 {
+		return time.Time{}
 	}
-	return by
+	return r.attempts[first].at.Add(r.window)
 }
 
 // outlived ends a request whose time is over, or whose client has gone, before
@@ -326,7 +325,7 @@
 
 func (n *owner) attemptEnded(r *request, number int, server decide.ServerID, took time.Duration, res result) {
 	r.running--
-	r.attempts[number].never = res.code == decide.Moot || res.code == decide.ConnectFailed || res.code == decide.Full
+	r.attempts[number].never = res.code.NeverRan()
 	served := answer{status: res.status, served: true, header: res.header, body: res.body}
 	switch {
 	case res.code == decide.OK:
