Log and count why requests, attempts and connections end, and what lists change

Change: internal/metrics counts by event and reason (512 series at most), in the log every 10 s if they have changed, and at /metrics of the admin address; internal/eventlog passes the log on without blocking and limits lines to five a second of a kind. Logged with ids: refusals, failures, retries, failed attempts with their error, what a list adds, restarts, drains or removes, the steps of an orderly stop. A log reader that has gone or does not read no longer stops the program.

--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -18,10 +18,13 @@
 	"runtime/debug"
 	"slices"
 	"syscall"
+	"time"
 
 	"indigotack/internal/admin"
 	"indigotack/internal/appconfig"
 	"indigotack/internal/clock"
+	"indigotack/internal/eventlog"
+	"indigotack/internal/metrics"
 	"indigotack/internal/node"
 	"indigotack/internal/peers"
 )
@@ -58,8 +61,17 @@
 // limitMemory has the collector work harder well before the machine's limit kills the node.
 func limitMemory(mb int) { debug.SetMemoryLimit(int64(mb) << 20 * 3 / 4) }
 
-func logger(name string) *slog.Logger {
-	return slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", name)
+const (
+	logLines     = 4096                   // that wait for a reader of the log that is slow
+	logFlushTime = 100 * time.Millisecond // for them at the end
+)
+
+// logger writes to standard error. Neither a reader that stops reading nor one
+// that has gone stops the program. flush is to be called at the end.
+func logger(name string) (log *slog.Logger, flush func()) {
+	signal.Ignore(syscall.SIGPIPE) // else a write to a pipe without a reader ends the process
+	out := eventlog.NewWriter(os.Stderr, logLines)
+	return slog.New(slog.NewTextHandler(out, nil)).With("node", name), func() { out.Close(logFlushTime) }
 }
 
 func run() error {
@@ -75,7 +87,8 @@
 	if err != nil {
 		return err
 	}
-	log := logger(cfg.Name)
+	log, flush := logger(cfg.Name)
+	defer flush()
 	n := node.New(cfg, log)
 	go func() {
 		for range reload {
@@ -91,7 +104,7 @@
 
 // takePart makes the node a member of its fleet and answers operators, as far
 // as the file wants either. leave ends both, telling the others.
-func takePart(app *appconfig.App, log *slog.Logger) (leave func(), err error) {
+func takePart(app *appconfig.App, counters *metrics.Set, log *slog.Logger) (leave func(), err error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	end := []func(){cancel}
 	leave = func() {
@@ -114,7 +127,7 @@
 		})
 	}
 	if app.Admin.IsValid() {
-		srv, err := admin.Serve(app.Admin.String(), p)
+		srv, err := admin.Serve(app.Admin.String(), p, counters)
 		if err != nil {
 			leave()
 			return nil, err
@@ -153,13 +166,14 @@
 	if err != nil {
 		return err
 	}
-	log := logger(app.Name)
+	log, flush := logger(app.Name)
+	defer flush()
 	s, err := node.NewSidecar(app, rand.Int64(), log)
 	if err != nil {
 		ln.Close()
 		return err
 	}
-	leave, err := takePart(app, log)
+	leave, err := takePart(app, s.Counters(), log)
 	if err != nil {
 		ln.Close()
 		return err
--- a/decide/api.go
+++ b/decide/api.go
@@ -210,6 +210,15 @@
 	Unusable
 )
 
+// String names an outcome, for logs and counters.
+func (c OutcomeCode) String() string {
+	names := [...]string{"ok", "server_error", "rejected", "timed_out", "connect_failed", "reset", "cancelled", "superseded", "unusable"}
+	if c < 0 || int(c) >= len(names) {
+		return "unknown"
+	}
+	return names[c]
+}
+
 // NeverRan tells whether an attempt that ended so has surely not run.
 func (c OutcomeCode) NeverRan() bool { return c == Full || c == ConnectFailed || c == Moot }
 
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -318,6 +318,7 @@
 // result is how an attempt ended.
 type result struct {
 	code     decide.OutcomeCode
+	err      error // why, where it is known
 	report   *decide.Report
 	passable bool // with a failure: the answer below may be passed on if no other attempt comes
 	status   int  // with OK, or if passable: the answer's
@@ -340,7 +341,7 @@
 	}
 	c, err := p.get(ctx, id)
 	if err != nil {
-		return result{code: unsent(ctx, err)}
+		return result{code: unsent(ctx, err), err: err}
 	}
 	// The connection may have been long in coming, and what was decided before
 	// may not be right any more: the list may name another process, or none.
@@ -353,14 +354,14 @@
 	if sent, err := c.Write(msg); err != nil {
 		c.discard()
 		if sent < len(msg) {
-			return result{code: unsent(ctx, err)}
+			return result{code: unsent(ctx, err), err: err}
 		}
-		return result{code: ending(ctx, err)} // a last byte that left with an error may have come
+		return result{code: ending(ctx, err), err: err} // a last byte that left with an error may have come
 	}
 	res, clean, err := c.receive(o.method)
 	if err != nil {
 		c.discard()
-		return result{code: ending(ctx, c.broken), report: res.report}
+		return result{code: ending(ctx, c.broken), report: res.report, err: err}
 	}
 	// Once the watch on ctx cannot be stopped it may yet spoil the deadline of
 	// whoever has the connection next.
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -198,8 +198,9 @@
 	url    string
 	client *http.Client
 	times  listTimes
-	silent bool // the last call was not answered in time
-	log    *slog.Logger
+	silent bool      // the last call was not answered in time
+	called time.Time // the last call began then
+	*observer
 	index  uint64          // 0: none yet, so that the whole list is asked for
 	names  map[string]bool // listed, but for those gone
 	asking bool            // for a second opinion
@@ -211,8 +212,8 @@
 	done  chan struct{}      // closed when it has ended
 }
 
-func newDiscovery(address string, times listTimes, log *slog.Logger, listed func(list), failed func()) *discovery {
-	return &discovery{url: "http://" + address + "/registry/instances", times: times, log: log, listed: listed, failed: failed,
+func newDiscovery(address string, times listTimes, o *observer, listed func(list), failed func()) *discovery {
+	return &discovery{url: "http://" + address + "/registry/instances", times: times, observer: o, listed: listed, failed: failed,
 		ended: make(chan struct{}), names: map[string]bool{},
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1,
 			DialContext: (&net.Dialer{Timeout: times.dial}).DialContext}}}
@@ -223,6 +224,7 @@
 // call and says nothing, or ceases to, is given up. A long list may trickle, but
 // not for longer than what it tells of counts as told anyway.
 func (d *discovery) call(ctx context.Context, query string, first, next time.Duration) (err error) {
+	d.called = time.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	last := time.Now().Add(first + lateTold)
@@ -233,6 +235,7 @@
 			err = errSilent
 		}
 		d.silent = err == errSilent
+		d.count(eventDiscovery, callResult(ctx, err))
 	}()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.url+query, nil)
 	if err != nil {
@@ -278,6 +281,19 @@
 	return nil
 }
 
+// callResult names how a call ended, for the counters.
+func callResult(ctx context.Context, err error) string {
+	switch {
+	case err == nil:
+		return "answered"
+	case err == errSilent:
+		return "silent"
+	case ctx.Err() != nil:
+		return "cancelled"
+	}
+	return "failed"
+}
+
 type readerFunc func([]byte) (int, error)
 
 func (f readerFunc) Read(b []byte) (int, error) { return f(b) }
@@ -385,7 +401,7 @@
 			wait = d.times.low
 		}
 		if wait == d.times.low { // a long outage is one line, not one for each try
-			d.log.Warn("discovery failed, watching again", "err", err)
+			d.log.Warn("discovery failed, watching again", "err", err, "version", d.index, "call_took", time.Since(d.called))
 		}
 		if !sleep(ctx, time.Duration(float64(wait)*(0.5+rand.Float64()))) {
 			return
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -66,7 +66,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	lists := make(chan list, 10)
-	d := newDiscovery(s.Listener.Addr().String(), times, quiet, func(l list) { lists <- l }, func() { t.Error("told a failure") })
+	d := newDiscovery(s.Listener.Addr().String(), times, newObserver(quiet), func(l list) { lists <- l }, func() { t.Error("told a failure") })
 	d.index = index
 	go d.follow(ctx)
 	return lists
@@ -126,7 +126,7 @@
 	}))
 	defer s.Close()
 	lists, failures := make(chan list, 10), make(chan bool, 10)
-	d := newDiscovery(s.Listener.Addr().String(), planLists(asked, 2*time.Second), quiet, func(l list) { lists <- l }, func() { failures <- true })
+	d := newDiscovery(s.Listener.Addr().String(), planLists(asked, 2*time.Second), newObserver(quiet), func(l list) { lists <- l }, func() { failures <- true })
 	d.index = 41
 	for _, c := range []struct {
 		fetch bool
@@ -273,7 +273,7 @@
 			fmt.Fprint(w, a)
 		}))
 		var got []int
-		d := newDiscovery(s.Listener.Addr().String(), planLists(agent, 2*time.Second), quiet, func(l list) { got = append(got, len(l.Entries)) }, func() {})
+		d := newDiscovery(s.Listener.Addr().String(), planLists(agent, 2*time.Second), newObserver(quiet), func(l list) { got = append(got, len(l.Entries)) }, func() {})
 		for range 2 {
 			if err := d.fetch(context.Background()); err != nil {
 				t.Errorf("%s: %v", c.name, err)
@@ -284,7 +284,7 @@
 		}
 		s.Close()
 	}
-	d := newDiscovery("127.0.0.1:1", planLists(agent, 2*time.Second), quiet, func(list) {}, func() {})
+	d := newDiscovery("127.0.0.1:1", planLists(agent, 2*time.Second), newObserver(quiet), func(list) {}, func() {})
 	for before, c := range map[int]struct {
 		after int
 		want  bool
@@ -323,7 +323,7 @@
 		io.WriteString(w, `"}`)
 	}))
 	defer long.Close()
-	d := newDiscovery(long.Listener.Addr().String(), planLists(agent, 2*time.Second), quiet, func(list) { t.Error("a list that is too long is taken") }, func() {})
+	d := newDiscovery(long.Listener.Addr().String(), planLists(agent, 2*time.Second), newObserver(quiet), func(list) { t.Error("a list that is too long is taken") }, func() {})
 	if err := d.call(context.Background(), "", enough, enough); err == nil || !strings.Contains(err.Error(), "bytes") { // a slow machine takes long to read it
 		t.Errorf("too long: %v", err)
 	}
@@ -452,7 +452,7 @@
 	defer s.Close()
 	time.AfterFunc(2*first, func() { close(rest) })
 	var got list
-	d := newDiscovery(s.Listener.Addr().String(), planLists(agent, time.Second), quiet, func(l list) { got = l }, func() {})
+	d := newDiscovery(s.Listener.Addr().String(), planLists(agent, time.Second), newObserver(quiet), func(l list) { got = l }, func() {})
 	if err := d.call(context.Background(), "", first, enough); err != nil || got.Index != 7 {
 		t.Errorf("%v, list %+v", err, got)
 	}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -33,7 +33,7 @@
 
 // frontend takes clients' requests and writes their answers.
 type frontend struct {
-	log    *slog.Logger
+	*observer
 	most   int // connections
 	health string
 	times  times
@@ -58,8 +58,8 @@
 	done  func() // called when it has been answered; may be nil
 }
 
-func newFrontend(log *slog.Logger, most int) *frontend {
-	return &frontend{log: log, most: most, health: "/health", times: times{headTime, readTime, writeTime, idleTime},
+func newFrontend(o *observer, most int) *frontend {
+	return &frontend{observer: o, most: most, health: "/health", times: times{headTime, readTime, writeTime, idleTime},
 		over: make(chan struct{}), linger: linger}
 }
 
@@ -71,7 +71,7 @@
 
 // platformFront is the front of a node on a platform.
 func platformFront(n *Node, most int) *frontend {
-	f := newFrontend(n.log, most)
+	f := newFrontend(n.observer, most)
 	p := &platform{front: f, owner: n.owner, effects: map[string]decide.Effect{}}
 	var longest time.Duration
 	for _, c := range n.cfg.Settings.Classes {
@@ -99,7 +99,7 @@
 func (f *frontend) serve(ctx context.Context, ln net.Listener) error {
 	srv := &http.Server{Handler: f, ReadHeaderTimeout: f.times.head, ReadTimeout: f.times.read, IdleTimeout: f.times.idle,
 		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug)}
-	limited := limitListener(ln, f.most)
+	limited := limitListener(ln, f.most, f.observer)
 	srv.ConnState = limited.note
 	srv.ConnContext = withClient
 	failed := make(chan error, 1)
@@ -112,11 +112,14 @@
 	onStop()
 	ordered := time.Now()
 	plan := f.plan()
+	f.note(slog.LevelInfo, "termination signal", eventPhase, "draining", "open", limited.open(),
+		"close_after", plan.leave, "answer_after", plan.answer, "end_after", plan.end)
 	f.endsAt.Store(ordered.Add(plan.answer).UnixNano())
 	over := time.AfterFunc(plan.answer, func() { close(f.over) })
 	defer over.Stop()
 	f.linger(limited.open, ordered, plan)
 	f.leaving.Store(true)
+	f.note(slog.LevelInfo, "asking clients to close", eventPhase, "closing", "open", limited.open(), "after", time.Since(ordered))
 	limited.leave(func() bool { return time.Since(ordered) < plan.answer })
 	<-failed // as the listener has closed
 	for limited.open() > 0 && time.Since(ordered) < plan.end {
@@ -126,6 +129,7 @@
 	// All requests have had their answers, and the time to write them: what is
 	// left are connections on which no whole one has come, or whose clients do
 	// not read.
+	f.note(slog.LevelInfo, "connections ended", eventPhase, "ended", "cut", limited.open(), "after", time.Since(ordered))
 	return srv.Close()
 }
 
@@ -193,6 +197,7 @@
 // follows on it may belong to the body of this request as the client sees it,
 // so none of it is taken for a request; and the answer waits for no body.
 func (f *frontend) turnAway(w http.ResponseWriter, err error, status int) {
+	f.note(slog.LevelInfo, "request refused unopened", eventRequest, "unreadable_"+strconv.Itoa(status), "err", err)
 	w.Header().Set("Connection", "close")
 	http.NewResponseController(w).SetReadDeadline(time.Now().Add(dregsTime)) // fails only on a closed connection
 	http.Error(w, err.Error(), status)
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -24,6 +25,7 @@
 // descriptors for the servers.
 type limited struct {
 	net.Listener
+	*observer
 	most int
 
 	mu      sync.Mutex
@@ -40,8 +42,8 @@
 	begun  bool      // a part of one has been read
 }
 
-func limitListener(ln net.Listener, most int) *limited {
-	return &limited{Listener: ln, most: most, unused: map[*limitedConn]unused{}}
+func limitListener(ln net.Listener, most int, o *observer) *limited {
+	return &limited{Listener: ln, observer: o, most: most, unused: map[*limitedConn]unused{}}
 }
 
 // Accept makes room by closing a connection that carries no request: clients
@@ -61,6 +63,7 @@
 		if room {
 			return &limitedConn{Conn: c, raw: rawOf(c), of: l}, nil
 		}
+		l.observer.note(slog.LevelWarn, "no room for a connection", eventConnection, "no_room")
 		c.Close()
 	}
 }
@@ -77,6 +80,7 @@
 	}
 	l.mu.Unlock()
 	if worst != nil {
+		l.observer.note(slog.LevelInfo, "connection evicted", eventConnection, "evicted")
 		worst.Conn.Close()
 	}
 	return room
@@ -146,6 +150,7 @@
 	}
 	l.mu.Unlock()
 	for _, c := range over {
+		l.observer.count(eventConnection, "idle_at_shutdown")
 		c.Conn.Close()
 	}
 }
--- a/internal/node/listener_test.go
+++ b/internal/node/listener_test.go
@@ -95,7 +95,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := limitListener(ln, 1)
+	l := limitListener(ln, 1, newObserver(quiet))
 	srv := &http.Server{ConnState: l.note, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })}
 	go srv.Serve(l)
 	defer srv.Close()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,7 +32,7 @@
 	if room := clients - max(1, clients/16); set.MaxOpen <= 0 || set.MaxOpen > room {
 		set.MaxOpen = room
 	}
-	n := &Node{cfg: cfg, owner: newOwner(set, cfg.Seed, servers, log)}
+	n := &Node{cfg: cfg, owner: newOwner(set, cfg.Seed, servers, newObserver(log))}
 	n.front = platformFront(n, clients)
 	n.owner.listChanged = func(servers int) { n.front.ready.Store(servers > 0) }
 	n.owner.ask = func(fetch, watch bool) { n.discovery.ask(n.ctx, fetch, watch) }
@@ -59,7 +59,7 @@
 	if late := times.late(from, grace, callTime); late > 0 {
 		n.log.Warn("the grace for draining servers is too short to hear of a drain in time after discovery was silent", "grace", grace, "late", late)
 	}
-	d = newDiscovery(address, times, n.log,
+	d = newDiscovery(address, times, n.observer,
 		func(l list) { news(func() { n.follow(l.Entries, l.Index, kindOf(l)) }) },
 		func() { news(func() { n.handle(decide.ListUpdate{Kind: decide.ListFailed}) }) })
 	return d
@@ -100,6 +100,7 @@
 	first := n.discovery // the loop may replace it
 	stop := n.run(ctx)
 	defer stop()
+	go n.summarize(n.ended)
 	n.cfg.known.note(n.log)
 	n.post(func() { n.follow(n.cfg.known.Entries, n.cfg.known.Index, decide.ListCached) })
 	if !n.cfg.Settings.AskForList {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -472,7 +472,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := limitListener(ln, 2)
+	l := limitListener(ln, 2, newObserver(quiet))
 	idle := make(chan struct{}, 10)
 	srv := &http.Server{Handler: http.NotFoundHandler(), ConnState: func(c net.Conn, s http.ConnState) {
 		l.note(c, s)
--- /dev/null
+++ b/internal/node/observer.go
@@ -0,0 +1,96 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"indigotack/internal/eventlog"
+	"indigotack/internal/metrics"
+)
+
+// The events that a node counts and logs. Each has a reason beside it.
+const (
+	eventRequest    = "requests"           // a client's request has its final answer, or needs none any more
+	eventAttempt    = "attempts"           // an attempt at a server has ended
+	eventRetry      = "retries"            // a request is sent once more
+	eventConnection = "connections_closed" // a client's connection was closed by this side
+	eventAccept     = "accept_errors"      // accepting a connection has failed
+	eventList       = "lists"              // a list of servers was taken up
+	eventDiscovery  = "discovery_calls"    // a call to discovery has ended
+	eventPhase      = "phases"             // the node's life has gone on
+)
+
+const (
+	linesPerSecond = 5                // of one event and reason in the log; the rest is counted
+	namesInLine    = 10               // servers named in one line of the log
+	summaryEvery   = 10 * time.Second // counters go to the log so often, if there is news
+)
+
+// observer counts and logs what happens in a node, so that a failure can be
+// told from what is left of it. It is safe for concurrent use.
+type observer struct {
+	log      *slog.Logger
+	counters *metrics.Set
+	limiter  *eventlog.Limiter
+}
+
+func newObserver(log *slog.Logger) *observer {
+	return &observer{log: log, counters: &metrics.Set{}, limiter: eventlog.NewLimiter(linesPerSecond)}
+}
+
+// with is the same observer with further attributes on its lines.
+func (o *observer) with(args ...any) *observer {
+	return &observer{log: o.log.With(args...), counters: o.counters, limiter: o.limiter}
+}
+
+// count counts an event that is too common for the log.
+func (o *observer) count(event, reason string) { o.counters.Add(event, reason) }
+
+// note counts an event and logs it, unless there were many of its kind lately.
+func (o *observer) note(level slog.Level, message, event, reason string, args ...any) {
+	o.counters.Add(event, reason)
+	passes, suppressed := o.limiter.Allow(event+"/"+reason, time.Now())
+	if !passes {
+		return
+	}
+	args = append(args, "reason", reason)
+	if suppressed > 0 {
+		args = append(args, "suppressed", suppressed)
+	}
+	o.log.Log(context.Background(), level, message, args...)
+}
+
+// summarize logs all counters until done is closed, whenever they have changed,
+// and once more then.
+func (o *observer) summarize(done <-chan struct{}) {
+	var logged []metrics.Sample
+	log := func() {
+		samples := o.counters.Samples()
+		if slices.Equal(samples, logged) {
+			return
+		}
+		logged = samples
+		o.log.Info("counters", "since_start", samples)
+	}
+	ticker := time.NewTicker(summaryEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			log()
+		case <-done:
+			log()
+			return
+		}
+	}
+}
+
+// names shortens a list of servers for the log.
+func names(all []string) []string {
+	if len(all) <= namesInLine {
+		return all
+	}
+	return append(slices.Clone(all[:namesInLine]), "...")
+}
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -21,7 +21,7 @@
 // that are open in it. One goroutine, its loop, feeds the module and carries
 // out what it decides, so that each request gets one final answer.
 type owner struct {
-	log         *slog.Logger
+	*observer
 	start       time.Time
 	wall        time.Duration // what the wall clock read then, as Unix time
 	inbox       chan func()   // run by the loop, one at a time
@@ -36,6 +36,7 @@
 	module   *decide.Module
 	ids      *ids
 	listed   map[string]decide.ServerID
+	entries  map[string]entry // as listed last
 	requests map[decide.RequestID]*request
 	queue    []decide.Event // that came of actions, to be handled next
 }
@@ -52,6 +53,7 @@
 	window   time.Duration // of a keyed class: how long after the first send that may have run another one may be written; 0: any time
 	guard    *time.Timer
 	passable answer // a server's own account of its failure, where that may be passed on
+	opened   time.Time
 }
 
 // sent is an attempt as its owner sees it.
@@ -59,6 +61,7 @@
 	cancel context.CancelFunc
 	at     time.Time
 	never  bool // it has surely not run
+	code   decide.OutcomeCode
 }
 
 // answer is a final answer to a client.
@@ -81,10 +84,10 @@
 	}
 }
 
-func newOwner(s decide.Settings, seed int64, sockets int, log *slog.Logger) *owner {
-	return &owner{log: log, start: time.Now(), wall: time.Duration(clock.Wall().UnixNano()), inbox: make(chan func(), inboxSize), ended: make(chan struct{}),
+func newOwner(s decide.Settings, seed int64, sockets int, o *observer) *owner {
+	return &owner{observer: o, start: time.Now(), wall: time.Duration(clock.Wall().UnixNano()), inbox: make(chan func(), inboxSize), ended: make(chan struct{}),
 		backends: newPool(s, sockets), listChanged: func(int) {}, set: s, module: decide.New(s, seed), ids: newIDs(),
-		listed: map[string]decide.ServerID{}, requests: map[decide.RequestID]*request{}}
+		listed: map[string]decide.ServerID{}, entries: map[string]entry{}, requests: map[decide.RequestID]*request{}}
 }
 
 // run starts the loop. It goes on after ctx has ended, until stop is called.
@@ -151,9 +154,9 @@
 	case decide.Send:
 		n.send(a)
 	case decide.Refuse:
-		n.giveUp(a.ID, answer{status: http.StatusServiceUnavailable, holdOff: a.HoldOff})
+		n.giveUp(a.ID, answer{status: http.StatusServiceUnavailable, holdOff: a.HoldOff}, "refused_"+a.Cause.String())
 	case decide.Fail:
-		n.giveUp(a.ID, answer{status: http.StatusBadGateway})
+		n.giveUp(a.ID, answer{status: http.StatusBadGateway}, "failed_"+a.Cause.String())
 	case decide.CancelAttempt:
 		if r := n.requests[a.ID]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.attempts) {
 			r.attempts[a.Attempt].cancel()
@@ -184,21 +187,19 @@
 func (n *owner) open(r *request, e decide.RequestArrived) {
 	if n.requests[r.id] != nil {
 		// Two under one id would get each other's answers.
-		r.done = true
-		r.answer <- answer{status: http.StatusConflict}
+		n.reject(r, answer{status: http.StatusConflict}, "duplicate_id")
 		return
 	}
 	if most := n.set.MaxOpen; most > 0 && len(n.requests) >= most {
-		r.done = true
-		r.answer <- answer{status: http.StatusServiceUnavailable}
+		n.reject(r, answer{status: http.StatusServiceUnavailable}, "too_many_open")
 		return
 	}
 	if e.Patience = time.Until(r.deadline); e.Patience <= 0 || r.out.left() {
 		// It came while the process stood still, or lay unread for as long.
-		r.done = true
-		r.answer <- answer{status: http.StatusServiceUnavailable}
+		n.reject(r, answer{status: http.StatusServiceUnavailable}, "late_or_disconnected")
 		return
 	}
+	r.opened = time.Now()
 	n.requests[r.id] = r
 	if i := slices.IndexFunc(n.set.Classes, func(c decide.Class) bool { return c.Name == e.Class }); i >= 0 && n.set.Classes[i].Effect == decide.Keyed {
 		r.window = n.set.Classes[i].DedupWindow
@@ -209,12 +210,19 @@
 	n.handle(e)
 }
 
+// reject answers a request that is not opened at all.
+func (n *owner) reject(r *request, a answer, reason string) {
+	r.done = true
+	n.note(slog.LevelInfo, "request rejected", eventRequest, reason, "id", r.id)
+	r.answer <- a
+}
+
 // overdue answers a request that is out of time, whatever is still out for it.
 func (n *owner) overdue(r *request) {
 	if r.done {
 		return
 	}
-	n.finish(r.id, spent(r))
+	n.finish(r.id, spent(r), "overdue")
 	for _, a := range r.attempts {
 		a.cancel() // a module that lost the request does not call them off
 	}
@@ -233,6 +241,7 @@
 // abandon ends a request whose client has gone.
 func (n *owner) abandon(r *request) {
 	if !r.done {
+		n.note(slog.LevelInfo, "request abandoned", eventRequest, "client_disconnected", "id", r.id, "attempts", len(r.attempts), "after", time.Since(r.opened))
 		n.close(r)
 		n.handle(decide.RequestAbandoned{ID: r.id})
 	}
@@ -240,8 +249,14 @@
 
 // finish gives a request its final answer. All answers pass here, and only
 // the first goes on.
-func (n *owner) finish(id decide.RequestID, a answer) {
+func (n *owner) finish(id decide.RequestID, a answer, reason string) {
 	if r := n.requests[id]; r != nil && !r.done {
+		if a.served {
+			n.count(eventRequest, reason)
+		} else {
+			n.note(slog.LevelInfo, "request answered without a server", eventRequest, reason,
+				"id", id, "status", a.status, "attempts", len(r.attempts), "after", time.Since(r.opened))
+		}
 		r.answer <- a
 		n.close(r)
 	}
@@ -249,11 +264,11 @@
 
 // giveUp ends a request, with the words of the server that was tried last if
 // they may be passed on: they tell the client more, and promise nothing.
-func (n *owner) giveUp(id decide.RequestID, a answer) {
+func (n *owner) giveUp(id decide.RequestID, a answer, reason string) {
 	if r := n.requests[id]; r != nil && r.passable.served {
 		a = r.passable
 	}
-	n.finish(id, a)
+	n.finish(id, a, reason)
 }
 
 func (n *owner) close(r *request) {
@@ -293,6 +308,9 @@
 		return
 	}
 	r.running++
+	if number > 0 {
+		n.note(slog.LevelInfo, "request sent again", eventRetry, r.attempts[number-1].code.String(), "id", r.id, "attempt", number, "server", n.ids.byID[a.Server])
+	}
 	server := instead(n, a.Server)
 	go func() {
 		defer cancel()
@@ -319,17 +337,18 @@
 // it is sent. The owner may hear of either only now: a process that has stood
 // still finds its timers, its clients' ends and its own decisions in any order.
 func (n *owner) outlived(r *request) {
-	n.finish(r.id, spent(r))
+	n.finish(r.id, spent(r), "outlived")
 	n.queue = append(n.queue, decide.RequestAbandoned{ID: r.id})
 }
 
 func (n *owner) attemptEnded(r *request, number int, server decide.ServerID, took time.Duration, res result) {
 	r.running--
-	r.attempts[number].never = res.code.NeverRan()
+	r.attempts[number].never, r.attempts[number].code = res.code.NeverRan(), res.code
+	n.noteAttempt(r, number, server, took, res)
 	served := answer{status: res.status, served: true, header: res.header, body: res.body}
 	switch {
 	case res.code == decide.OK:
-		n.finish(r.id, served)
+		n.finish(r.id, served, "served")
 	case res.passable:
 		r.passable = served
 	default:
@@ -341,6 +360,15 @@
 	n.forget(r)
 }
 
+func (n *owner) noteAttempt(r *request, number int, server decide.ServerID, took time.Duration, res result) {
+	if res.code == decide.OK {
+		n.count(eventAttempt, res.code.String())
+		return
+	}
+	n.note(slog.LevelInfo, "attempt failed", eventAttempt, res.code.String(),
+		"id", r.id, "attempt", number, "server", n.ids.byID[server], "after", took, "err", res.err)
+}
+
 // follow takes a list of servers: addresses for the sockets, the rest for the module.
 func (n *owner) follow(entries []entry, version uint64, kind decide.ListKind) {
 	// In one order whatever the list's, as the numbers of names that share a
@@ -354,6 +382,7 @@
 		}
 		return 0
 	})
+	n.noteList(entries, version, kind)
 	u := decide.ListUpdate{Kind: kind, Version: version}
 	missing := map[string]bool{}
 	if kind != decide.ListChanges {
--- a/internal/node/sidecar.go
+++ b/internal/node/sidecar.go
@@ -17,6 +17,7 @@
 	"indigotack/decide"
 	"indigotack/internal/appconfig"
 	"indigotack/internal/clock"
+	"indigotack/internal/metrics"
 	"indigotack/internal/route"
 )
 
@@ -26,7 +27,7 @@
 // Sidecar is a node beside one application: it serves ordinary clients by the
 // application's file, with one module for each pool of servers.
 type Sidecar struct {
-	log    *slog.Logger
+	*observer
 	seed   int64
 	front  *frontend
 	start  time.Time
@@ -59,12 +60,12 @@
 
 // NewSidecar makes a sidecar for a checked application; Run starts it.
 func NewSidecar(app *appconfig.App, seed int64, log *slog.Logger) (*Sidecar, error) {
-	s := &Sidecar{log: log, seed: seed, start: time.Now(), app: app, pools: map[string]*sidePool{}, entries: map[string]entry{}}
+	s := &Sidecar{observer: newObserver(log), seed: seed, start: time.Now(), app: app, pools: map[string]*sidePool{}, entries: map[string]entry{}}
 	var err error
 	if s.chooser, err = app.Chooser(); err != nil {
 		return nil, fmt.Errorf("routes: %w", err)
 	}
-	s.front = newFrontend(log, app.ClientRoom())
+	s.front = newFrontend(s.observer, app.ClientRoom())
 	s.front.health = app.Health
 	s.front.times = times{head: app.Head, read: app.Request, write: app.Write, idle: app.Keep}
 	s.front.read = s.read
@@ -76,10 +77,14 @@
 	return s, nil
 }
 
+// Counters are what the sidecar has counted since it was made.
+func (s *Sidecar) Counters() *metrics.Set { return s.counters }
+
 // Run serves clients on ln until ctx ends, then finishes what is open.
 func (s *Sidecar) Run(ctx context.Context, ln net.Listener) error {
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	go s.summarize(inner.Done())
 	s.mu.Lock()
 	s.ctx = inner
 	for _, p := range s.app.Pools {
@@ -103,9 +108,8 @@
 }
 
 func (s *Sidecar) newPool(app *appconfig.App, pool appconfig.Pool) *sidePool {
-	log := s.log.With("pool", pool.Name)
 	p := &sidePool{pool: pool, members: map[string]bool{}}
-	p.owner = newOwner(app.Settings(pool.Name), s.seed^int64(len(s.pools)+1)<<32, app.PoolRoom(), log)
+	p.owner = newOwner(app.Settings(pool.Name), s.seed^int64(len(s.pools)+1)<<32, app.PoolRoom(), s.with("pool", pool.Name))
 	p.backends.ordinary, p.backends.maxBody = true, app.BodyKB<<10
 	p.listChanged = func(servers int) {
 		if p.gone.Load() {
@@ -210,7 +214,7 @@
 		s.source.end()
 	}
 	var d *discovery
-	d = newDiscovery(app.Discovery, planLists(server, app.DrainGrace), s.log, func(l list) {
+	d = newDiscovery(app.Discovery, planLists(server, app.DrainGrace), s.observer, func(l list) {
 		s.mu.RLock()
 		defer s.mu.RUnlock()
 		s.listMu.Lock()
