--- /dev/null
+++ b/cmd/indigotack/kill_test.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// killSlack is how long beyond the longest deadline a platform waits at least
+// between SIGTERM and SIGKILL.
+const killSlack = 700 * time.Millisecond
+
+// TestServesUntilTheEarliestKill: clients go on sending on every connection
+// that stays open until the process is killed, which comes as early as the
+// platform may, while some servers hang. Each request that was sent on an open
+// connection has a whole answer by then, or crossed the close of a connection
+// between two requests.
+func TestServesUntilTheEarliestKill(t *testing.T) {
+	for _, longest := range []time.Duration{300 * time.Millisecond, 650 * time.Millisecond, 800 * time.Millisecond, 2 * time.Second} {
+		t.Run(longest.String(), func(t *testing.T) {
+			t.Parallel()
+			for _, lost := range requestsLostAtKill(t, longest) {
+				t.Error(lost)
+			}
+		})
+	}
+}
+
+func requestsLostAtKill(t *testing.T, longest time.Duration) (lost []string) {
+	t.Helper()
+	hangs := make(chan struct{})
+	t.Cleanup(func() { close(hangs) })
+	servers := map[string]string{}
+	for i := range 4 {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if i == 0 {
+				select {
+				case <-hangs:
+				case <-r.Context().Done():
+				}
+				return
+			}
+			time.Sleep(rand.N(longest / 4))
+			io.WriteString(w, "page")
+		}))
+		t.Cleanup(s.CloseClientConnections)
+		servers[fmt.Sprint("s", i)] = s.Listener.Addr().String()
+	}
+	agent := httptest.NewServer(newScriptedAgent(servers))
+	t.Cleanup(agent.CloseClientConnections)
+	listen := freeAddress(t)
+	cmd := program(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","settings":{"membership_mode":"pushed",
+		"invariants":{"drain_grace_ns":2000000000},"caps":{"max_attempts":4,"cancel":true},
+		"classes":[{"name":"page","effect":"retryable","aim_ns":%d,"give_up_ns":%d,"importance":1}]}}`,
+		listen, agent.Listener.Addr(), (longest/2).Nanoseconds(), longest.Nanoseconds()))
+	start(t, cmd)
+	awaitReady(t, listen)
+
+	var mu sync.Mutex
+	report := func(text string) {
+		mu.Lock()
+		defer mu.Unlock()
+		lost = append(lost, text)
+	}
+	var clients sync.WaitGroup
+	stopped := make(chan struct{})
+	for i := range 24 {
+		clients.Go(func() { sendUntilClosed(listen, i, longest, stopped, report) })
+	}
+	time.Sleep(500 * time.Millisecond)
+	close(stopped)
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	kill := time.AfterFunc(longest+killSlack, func() { cmd.Process.Kill() })
+	defer kill.Stop()
+	clients.Wait()
+	cmd.Wait()
+	return lost
+}
+
+// sendUntilClosed sends requests on one connection after another until stopped
+// is closed, and then for as long as the connection stays open. It reports each
+// request that goes without a whole answer, unless it crossed a close.
+func sendUntilClosed(address string, client int, deadline time.Duration, stopped <-chan struct{}, report func(string)) {
+	for number := 0; ; {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			return // nobody listens any more
+		}
+		answers := bufio.NewReader(conn)
+		for first := true; ; first = false {
+			number++
+			id := fmt.Sprintf("c%d-%d", client, number)
+			sent := time.Now()
+			_, err := fmt.Fprintf(conn, "GET /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: %s\r\nX-Class: page\r\nX-Deadline: %.3f\r\n\r\n", id, deadline.Seconds())
+			if err != nil {
+				break
+			}
+			conn.SetReadDeadline(sent.Add(deadline + time.Second))
+			resp, err := http.ReadResponse(answers, nil)
+			if err != nil {
+				if first {
+					report(fmt.Sprintf("%s: no answer on a new connection, %v after it was sent: %v", id, time.Since(sent), err))
+				} else if time.Since(sent) > 20*time.Millisecond {
+					report(fmt.Sprintf("%s: the connection was closed %v after it was sent: %v", id, time.Since(sent), err))
+				}
+				break
+			}
+			_, err = io.ReadAll(resp.Body)
+			if took := time.Since(sent); err != nil || took > deadline+socketSlack {
+				report(fmt.Sprintf("%s: answer %d after %v, %v", id, resp.StatusCode, took, err))
+			}
+			if resp.Close || err != nil {
+				break
+			}
+			time.Sleep(rand.N(8 * time.Millisecond))
+		}
+		conn.Close()
+		select {
+		case <-stopped:
+			return
+		default:
+		}
+	}
+}
