Give up an agent's watch early enough that a drain is known within the grace

Cause: the time after which a watch counts as failed was a constant (2 s of hold and 1 s of silence), and an answer that went on coming in parts had 6 s more, while the settings' grace for draining servers is 2 s and what a local agent has counts as known at once. The class: the node acts on knowledge that nobody has confirmed within the time for which it may act on it. Change: an agent's hold, silence, further calls and dial are parts of the grace (0.5, 0.4, 0.3 and 0.4 s of 2 s), so that two failed watches in a row and a second opinion fit; an answer has to be whole within the same time. Calls get more time while answers are too slow or an agent stays silent, so that a slow list comes through. listTimes.late checks both chains and warns at the start where a grace is too short. TestListThatTrickles had one call with a time of its own that no caller used; it now wants the list from all three sources through the real loop. TestDrainBehindSilentCalls wants 3 s where it wanted 8.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"indigotack/decide"
@@ -27,10 +28,18 @@
 	// the second answer holds, whatever it says, and the first one if none comes in time.
 	shrinkPart  = 0.5
 	shrinkLeast = 4
+
+	patientAfter   = 2  // calls that fell silent, before later ones are given more time
+	mostUnanswered = 10 // beyond so many they are given no more
 )
 
-// errSilent is of a call that owed an answer, or more of one, for too long.
-var errSilent = fmt.Errorf("discovery has fallen silent: %w", context.DeadlineExceeded)
+// Errors of calls that were given up.
+var (
+	// errSilent is of a call that owed an answer, or more of one, for too long.
+	errSilent = fmt.Errorf("discovery has fallen silent: %w", context.DeadlineExceeded)
+	// errSlow is of a call whose answer went on coming, and was not whole in time.
+	errSlow = fmt.Errorf("discovery's answer was too slow: %w", context.DeadlineExceeded)
+)
 
 // list is a list of servers in discovery's form. A malformed entry must not
 // cost the node the others, so it is left out and counted.
@@ -198,8 +207,9 @@
 	url    string
 	client *http.Client
 	times  listTimes
-	silent bool      // the last call was not answered in time
 	called time.Time // the last call began then
+	// So many calls had no answer, or one that was too slow, since the last that was answered.
+	silentCalls, slowCalls int
 	*observer
 	index  uint64          // 0: none yet, so that the whole list is asked for
 	names  map[string]bool // listed, but for those gone
@@ -219,23 +229,50 @@
 			DialContext: (&net.Dialer{Timeout: times.dial}).DialContext}}}
 }
 
-// call asks once and passes the answer on. It has to begin within first, and
-// no part of it may be longer in coming than next: a discovery that takes a
-// call and says nothing, or ceases to, is given up. A long list may trickle, but
-// not for longer than what it tells of counts as told anyway.
-func (d *discovery) call(ctx context.Context, query string, first, next time.Duration) (err error) {
+// patience is how long a call may wait for what.
+type patience struct {
+	first time.Duration // for the first part of the answer
+	next  time.Duration // for each further one
+	whole time.Duration // for all of it
+}
+
+// unanswered tells whether the last calls fell silent or were too slow.
+func (d *discovery) unanswered() bool { return d.silentCalls+d.slowCalls > 0 }
+
+// wait is the patience with a call that asks to be held for hold and has to be
+// answered within answer then. It grows as long as answers are too slow, as a
+// list must come through at last, and while none comes from an agent.
+func (d *discovery) wait(hold, answer time.Duration) patience {
+	for range d.slowCalls {
+		answer = min(2*answer, lateTold)
+	}
+	for range d.silentCalls - patientAfter {
+		answer = max(answer, min(2*answer, d.times.longest))
+	}
+	return patience{first: hold + answer, next: answer, whole: hold + answer + d.times.whole}
+}
+
+// call asks once and passes the answer on. A discovery that takes a call and
+// says nothing, or ceases to, is given up, and so is an answer that trickles.
+func (d *discovery) call(ctx context.Context, query string, wait patience) (err error) {
 	d.called = time.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	last := time.Now().Add(first + lateTold)
-	watchdog := time.AfterFunc(first, func() { cancel(errSilent) })
+	last := d.called.Add(wait.whole)
+	var heardAt atomic.Pointer[time.Time]
+	watchdog := time.AfterFunc(wait.first, func() {
+		if at := heardAt.Load(); at != nil && time.Since(*at) < wait.next/2 {
+			cancel(errSlow)
+		} else {
+			cancel(errSilent)
+		}
+	})
 	defer watchdog.Stop()
 	defer func() {
-		if err != nil && context.Cause(ctx) == errSilent {
-			err = errSilent
+		if given := context.Cause(ctx); err != nil && (given == errSilent || given == errSlow) {
+			err = given
 		}
-		d.silent = err == errSilent
-		d.count(eventDiscovery, callResult(ctx, err))
+		d.noteCall(ctx, err)
 	}()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.url+query, nil)
 	if err != nil {
@@ -252,7 +289,9 @@
 	heard := readerFunc(func(b []byte) (int, error) {
 		n, err := resp.Body.Read(b)
 		if n > 0 {
-			watchdog.Reset(min(next, time.Until(last)))
+			now := time.Now()
+			heardAt.Store(&now)
+			watchdog.Reset(min(wait.next, last.Sub(now)))
 		}
 		return n, err
 	})
@@ -270,7 +309,7 @@
 		watchdog.Stop() // this call has been answered
 		d.asking = true
 		again, cancel := context.WithTimeout(ctx, d.times.second)
-		err := d.call(again, "", d.times.second, d.times.second)
+		err := d.call(again, "", patience{d.times.second, d.times.second, d.times.second})
 		cancel()
 		if d.asking = false; err == nil {
 			return nil
@@ -281,6 +320,19 @@
 	return nil
 }
 
+// noteCall keeps how a call ended, for the next one.
+func (d *discovery) noteCall(ctx context.Context, err error) {
+	switch {
+	case err == nil:
+		d.silentCalls, d.slowCalls = 0, 0
+	case err == errSlow:
+		d.slowCalls = min(d.slowCalls+1, mostUnanswered)
+	case err == errSilent:
+		d.silentCalls = min(d.silentCalls+1, mostUnanswered)
+	}
+	d.count(eventDiscovery, callResult(ctx, err))
+}
+
 // callResult names how a call ended, for the counters.
 func callResult(ctx context.Context, err error) string {
 	switch {
@@ -288,6 +340,8 @@
 		return "answered"
 	case err == errSilent:
 		return "silent"
+	case err == errSlow:
+		return "slow"
 	case ctx.Err() != nil:
 		return "cancelled"
 	}
@@ -348,11 +402,11 @@
 
 // fetch asks for the whole list.
 func (d *discovery) fetch(ctx context.Context) error {
-	patience := d.times.fetch
-	if d.silent && d.times.again > 0 {
-		patience = d.times.again
+	answer := d.times.fetch
+	if d.unanswered() && d.times.again > 0 {
+		answer = d.times.again
 	}
-	return d.call(ctx, "", patience, d.times.silence)
+	return d.call(ctx, "", d.wait(0, answer))
 }
 
 // watch follows the list until a call fails. The calls come back to back, so
@@ -367,11 +421,11 @@
 		}
 	}
 	for {
-		began, before, hold, patience := time.Now(), d.index, d.times.hold, d.times.silence
-		if d.silent && d.times.again > 0 {
-			hold, patience = 0, d.times.again
+		began, before, hold, answer := time.Now(), d.index, d.times.hold, d.times.silence
+		if d.unanswered() && d.times.again > 0 {
+			hold, answer = 0, d.times.again
 		}
-		if err := d.call(ctx, fmt.Sprintf("?from=%d&hold_ms=%d", d.index, hold.Milliseconds()), hold+patience, d.times.silence); err != nil {
+		if err := d.call(ctx, fmt.Sprintf("?from=%d&hold_ms=%d", d.index, hold.Milliseconds()), d.wait(hold, answer)); err != nil {
 			return err
 		}
 		if d.index == before && time.Since(began) < hold/100 {
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -324,7 +324,7 @@
 	}))
 	defer long.Close()
 	d := newDiscovery(long.Listener.Addr().String(), planLists(agent, 2*time.Second), newObserver(quiet), func(list) { t.Error("a list that is too long is taken") }, func() {})
-	if err := d.call(context.Background(), "", enough, enough); err == nil || !strings.Contains(err.Error(), "bytes") { // a slow machine takes long to read it
+	if err := d.call(context.Background(), "", patience{enough, enough, enough}); err == nil || !strings.Contains(err.Error(), "bytes") { // a slow machine takes long to read it
 		t.Errorf("too long: %v", err)
 	}
 }
@@ -363,7 +363,7 @@
 		for _, grace := range []time.Duration{0, 50 * time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond,
 			time.Second, 2 * time.Second, time.Minute} {
 			p := planLists(from, grace)
-			if p.hold <= 0 || p.silence <= 0 || p.fetch <= 0 || p.dial <= 0 || p.low <= 0 || p.high < p.low || p.second < 0 || p.again < 0 {
+			if p.hold <= 0 || p.silence <= 0 || p.fetch <= 0 || p.dial <= 0 || p.low <= 0 || p.high < p.low || p.second < 0 || p.again < 0 || p.longest < p.again {
 				t.Errorf("source %d, grace %v: %+v", from, grace, p)
 			}
 			late := p.late(from, grace, callTime)
@@ -415,12 +415,15 @@
 				}
 			}))
 			t.Cleanup(s.Close)
-			index, holds, most := uint64(41), []string{"2000", "0", "0", "0", "2000"}, lateTold+heldTold
-			if strings.Contains(name, "new address") { // which counts 4 s after the order to go there
-				index, holds, most = 0, []string{"", "", "", "", "2000"}, 4*time.Second
+			const most = 3 * time.Second // for three silent calls; a new address counts 4 s after the order to go there
+			times := planLists(agent, 500*time.Millisecond)
+			hold := fmt.Sprint(times.hold.Milliseconds())
+			index, holds := uint64(41), []string{hold, "0", "0", "0", hold}
+			if strings.Contains(name, "new address") {
+				index, holds = 0, []string{"", "", "", "", hold}
 			}
 			began := time.Now()
-			lists := following(t, s, planLists(agent, 500*time.Millisecond), index)
+			lists := following(t, s, times, index)
 			if l := wait(t, lists, "the drain"); l.Index != 43 {
 				t.Errorf("list %d, want 43", l.Index)
 			}
@@ -438,22 +441,27 @@
 	}
 }
 
-// TestListThatTrickles: a list that comes in parts is no silence, however long the whole takes.
+// TestListThatTrickles: a list that always comes in parts, far more slowly than
+// an agent should answer, is taken all the same, as calls get more and more time.
 func TestListThatTrickles(t *testing.T) {
-	t.Parallel()
-	const first = 1500 * time.Millisecond
-	rest := make(chan struct{})
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		fmt.Fprint(w, "{ \"index\": 7,\n  \"snapshot\": true,\n")
-		w.(http.Flusher).Flush()
-		<-rest
-		fmt.Fprint(w, "  \"endpoints\": [\n ]\n}\n")
-	}))
-	defer s.Close()
-	time.AfterFunc(2*first, func() { close(rest) })
-	var got list
-	d := newDiscovery(s.Listener.Addr().String(), planLists(agent, time.Second), newObserver(quiet), func(l list) { got = l }, func() {})
-	if err := d.call(context.Background(), "", first, enough); err != nil || got.Index != 7 {
-		t.Errorf("%v, list %+v", err, got)
+	const slow, parts = 1500 * time.Millisecond, 30
+	for _, from := range []source{agent, server, asked} {
+		t.Run(fmt.Sprint(from), func(t *testing.T) {
+			t.Parallel()
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				fmt.Fprint(w, "{ \"index\": 7,\n  \"snapshot\": true,\n  \"endpoints\": [\n")
+				for range parts {
+					if http.NewResponseController(w).Flush() != nil || !sleep(r.Context(), slow/parts) {
+						return
+					}
+					fmt.Fprint(w, " ")
+				}
+				fmt.Fprint(w, "]\n}\n")
+			}))
+			t.Cleanup(s.Close)
+			if l := wait(t, following(t, s, planLists(from, time.Second), 0), "the list"); l.Index != 7 {
+				t.Errorf("list %d, want 7", l.Index)
+			}
+		})
 	}
 }
--- a/internal/node/listtimes.go
+++ b/internal/node/listtimes.go
@@ -6,15 +6,20 @@
 type source int
 
 const (
-	agent  source = iota // on the node's own machine: it answers at once, at no cost
-	server               // that many nodes ask, with calls that it may hold
-	asked                // the same where each call costs it work, and the module says when one is made
+	// agent is a process on the node's own machine. It answers at once, and
+	// what it has counts as known to the node whether or not a call was open.
+	agent source = iota
+	// server is a service that many nodes ask. It may hold calls.
+	server
+	// asked is the same where each call costs the service work, and the module
+	// says when one is made.
+	asked
 )
 
-// What a platform counts as told: what a watch misses that has fallen silent
-// counts lateTold after it, or heldTold after the wait is over that the call
-// asked for, if that is later. A change on sockets may be acted on graceSlack
-// later than the settings' grace says.
+// What a platform counts as told by a server of lists: what a watch misses that
+// has fallen silent counts lateTold after it, or heldTold after the wait is
+// over that the call asked for, if that is later. A change on sockets may be
+// acted on graceSlack later than the settings' grace says.
 const (
 	lateTold   = 6 * time.Second
 	heldTold   = 2 * time.Second
@@ -22,12 +27,22 @@
 	callTime   = 50 * time.Millisecond // what a call takes that discovery answers at once, where the node has little CPU
 )
 
+// Bounds of an agent's times, whatever the grace.
+const (
+	leastAgentTime = 25 * time.Millisecond // for an answer: a busy machine delays every answer by some milliseconds
+	leastBackoff   = 5 * time.Millisecond
+	mostAgentHold  = 2 * time.Second
+	mostAgentTime  = time.Second
+)
+
 // listTimes bounds what following a list waits for.
 type listTimes struct {
 	hold    time.Duration // that a watch asks for
-	silence time.Duration // a watch that owes something for so long has fallen silent: its answer after the hold, or the next part of it
-	fetch   time.Duration // the same for a call that asks for no wait
+	silence time.Duration // a watch that owes something for so long has failed: its answer after the hold, or the next part of it
+	whole   time.Duration // for a whole answer, counted from when its first part was due
+	fetch   time.Duration // the same as silence for a call that asks for no wait
 	again   time.Duration // the same for calls after one that fell silent, until one is answered; 0: they are made like others
+	longest time.Duration // to which again grows while call after call falls silent: the agent may be slow
 	dial    time.Duration // to connect
 	low     time.Duration // wait before a failed call is made again, with jitter of half of it; it doubles
 	high    time.Duration // up to this
@@ -36,22 +51,19 @@
 
 // planLists computes the times from the settings' grace for servers that
 // drain, so that what counts as told is known before the grace after it is
-// over. The longest chains, each with the wait before the call (half as long
-// again at most) and the call itself:
-//
-//	a watch falls silent as it begins:  hold + silence + 1.5 low + call  <= hold + heldTold + grace
-//	an agent comes back from silence:   again + 1.5 high + call          <= grace + graceSlack
-//	a whole list has lost most servers: second                           <= grace
+// over. late checks the longest chains.
 func planLists(from source, grace time.Duration) listTimes {
-	t := listTimes{hold: 5 * time.Second, silence: heldTold * 3 / 4, fetch: heldTold, dial: heldTold,
+	t := listTimes{hold: 5 * time.Second, silence: heldTold * 3 / 4, whole: lateTold, fetch: heldTold, dial: heldTold,
 		low: 50 * time.Millisecond, high: time.Second, second: min(500*time.Millisecond, grace/4)}
 	switch from {
 	case agent:
-		// Two watches one after another may fall silent in less than lateTold.
-		t.hold, t.silence, t.fetch, t.dial = 2*time.Second, time.Second, time.Second, time.Second
-		t.again = min(max(grace/3, 100*time.Millisecond), t.silence)
-		t.high = min(max(grace/8, 10*time.Millisecond), t.high)
-		t.low = min(t.low, t.high)
+		t.hold = clamp(grace/4, leastAgentTime, mostAgentHold)
+		t.silence = clamp(grace/5, leastAgentTime, mostAgentTime)
+		t.again = clamp(grace*3/20, leastAgentTime, mostAgentTime)
+		t.longest = clamp(grace*3/4, t.again, mostAgentTime)
+		t.fetch, t.dial, t.whole = t.silence, t.silence, 0
+		t.low = clamp(grace/80, leastBackoff, t.low)
+		t.high = clamp(grace/16, t.low, t.high)
 	case asked:
 		// The module waits up to 0.3 s before it asks again, and the service
 		// answers in turn.
@@ -61,11 +73,26 @@
 	return t
 }
 
-// late is by how much the longest chain may pass what the grace allows, where
-// a call is answered within so long; 0 or less: it fits.
+func clamp(d, least, most time.Duration) time.Duration { return min(max(d, least), most) }
+
+// late is by how much the longest chain of waits between a change and the
+// node's knowing of it may pass what the grace allows, where a call is answered
+// within so long; 0 or less: it fits. The chains, each wait between calls being
+// half as long again at most:
+//
+//	an agent has the change as a watch begins that never answers, and the next
+//	call is not answered either: hold + silence + wait + again + wait + call,
+//	and the list has lost most servers: + second
+//	an agent has been silent for long, and takes no call that came before it
+//	speaks again: longest + wait + call
+//	a server's watch falls silent as it begins, which it may for heldTold
+//	beyond the hold: hold + silence + wait + call
 func (t listTimes) late(from source, grace, call time.Duration) time.Duration {
+	first := t.hold + t.silence + t.low*3/2
 	if from == agent {
-		return t.again + t.high*3/2 + call - grace - graceSlack
+		watch := first + t.again + t.low*3 + call + t.second
+		back := t.longest + t.high*3/2 + call
+		return max(watch, back) - grace - graceSlack
 	}
-	return t.silence + t.low*3/2 + call - heldTold - grace - graceSlack
+	return first + call - t.hold - heldTold - grace - graceSlack
 }
