--- a/internal/node/overtaken_test.go
+++ b/internal/node/overtaken_test.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -74,3 +76,37 @@
 		t.Errorf("it was sent %d times, want one", k)
 	}
 }
+
+// TestDeadlinePassedOnIsWhatIsLeft: a connection is long in coming. The server
+// is told how long the client still waits then, not when the attempt began.
+func TestDeadlinePassedOnIsWhatIsLeft(t *testing.T) {
+	const wait, dial, slack = 3 * time.Second, time.Second, 150 * time.Millisecond
+	type call struct {
+		at   time.Time
+		told time.Duration
+	}
+	calls := make(chan call, 1)
+	n := startNode(t, backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		req := readRequest(r)
+		if req == nil {
+			return
+		}
+		seconds, _ := strconv.ParseFloat(req.Header.Get("X-Deadline"), 64)
+		calls <- call{time.Now(), time.Duration(seconds * float64(time.Second))}
+		io.WriteString(c, okAnswer)
+	}))
+	dialling, release := holdDials(n.backends, 0)
+	client := n.dial(t)
+	sent := time.Now()
+	fmt.Fprint(client, textOf("safe", "saldo", "q", fmt.Sprint(wait.Seconds())))
+	<-dialling
+	time.Sleep(dial)
+	release()
+	if status := client.status(t); status != 200 {
+		t.Fatalf("answer %d, want 200", status)
+	}
+	c := <-calls
+	if left := wait - c.at.Sub(sent); c.told > left+slack || c.told <= 0 {
+		t.Errorf("the server is told %v, and its client waits for %v more", c.told, left)
+	}
+}
