Decide in one package what may be sent, closed and answered, by spans of real time

Cause: the checks before a send, a close and an end stood in five places; the end of a stop was Unix time and the module's clock took Unix times of servers' starts as they came, so that a step of the wall clock moved both; X-Deadline was written before the connection was dialled. Change: internal/lifecycle, pure: phases and plan of a stop, MayBegin for attempts (asked when one is sent and right before its first byte), MayCloseAtShutdown and EvictionRank for connections, and checks that count violations: answers half a second late, closes with an answer owed, sends to removed servers and after deadlines, an end with open requests. startTimes puts a server's start on the module's clock by all offsets that the wall clock has had. Requests that have not come whole 50 ms before a node's end get a 503 instead of a bare close.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,24 +1,34 @@
 // Package clock is the machine's wall clock as the program reads it. A machine
-// can be set wrong, and a rehearsal has to be able to have one that is: where
-// INDIGOTACK_CLOCK_OFFSET holds a time such as "-1h" or "90s", all wall times
-// that the program reads are off by it. Times that pass are not: they come
-// from the monotonic clock, as they would on a machine that is set wrong.
+// can be set wrong, and its clock may step at any moment; a rehearsal has to be
+// able to have one that does. Where INDIGOTACK_CLOCK_OFFSET holds a time such as
+// "-1h" or "90s", all wall times that the program reads are off by it; where
+// INDIGOTACK_CLOCK_FILE names a file, by the time that the file holds just then.
+// Times that pass are not: they come from the monotonic clock.
 package clock
 
 import (
 	"fmt"
 	"os"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
-// Variable is the environment variable that sets the clock wrong.
-const Variable = "INDIGOTACK_CLOCK_OFFSET"
+// Environment variables that set the clock wrong.
+const (
+	Variable     = "INDIGOTACK_CLOCK_OFFSET"
+	FileVariable = "INDIGOTACK_CLOCK_FILE"
+)
 
 // Most is the largest offset, either way.
 const Most = 24 * time.Hour
 
-var offset = sync.OnceValues(func() (time.Duration, error) { return parse(os.Getenv(Variable)) })
+var (
+	offset  = sync.OnceValues(func() (time.Duration, error) { return parse(os.Getenv(Variable)) })
+	file    = sync.OnceValue(func() string { return os.Getenv(FileVariable) })
+	stepped atomic.Int64
+)
 
 func parse(text string) (time.Duration, error) {
 	if text == "" {
@@ -37,9 +47,28 @@
 	return err
 }
 
+// Step moves the wall clock of this process by a time, for tests.
+func Step(by time.Duration) { stepped.Add(int64(by)) }
+
 // Wall is the wall time. It has no monotonic part: how long something took is
 // not to be told from it.
 func Wall() time.Time {
 	d, _ := offset() // Check tells of the error
-	return time.Now().Round(0).Add(d)
+	return time.Now().Round(0).Add(d + fromFile() + time.Duration(stepped.Load()))
+}
+
+// SinceEpoch is a wall time as Unix time.
+func SinceEpoch(wall time.Time) time.Duration { return time.Duration(wall.UnixNano()) }
+
+// fromFile is the offset in the file, if there is one that can be read.
+func fromFile() time.Duration {
+	if file() == "" {
+		return 0
+	}
+	text, err := os.ReadFile(file())
+	if err != nil {
+		return 0
+	}
+	d, _ := parse(strings.TrimSpace(string(text))) // a file that is being written is no step
+	return d
 }
--- /dev/null
+++ b/internal/lifecycle/connection.go
@@ -0,0 +1,51 @@
+package lifecycle
+
+import "time"
+
+// How long a client's connection is spared that carries no request.
+const (
+	SpeakTime = 250 * time.Millisecond // silent for longer without a first request, it is the first to give way
+	SpareTime = 20 * time.Millisecond  // its first request comes with it, or right behind it
+)
+
+// Idle is what is known of a client's connection that carries no whole request.
+type Idle struct {
+	Since  time.Time // it has been so, or the last part of a request came then
+	Spoken bool      // it has carried a request before
+	Begun  bool      // a part of a request has been read
+	Unread bool      // bytes have come that nobody has read, which may be a request
+}
+
+// MayCloseAtShutdown tells whether an idle connection may be closed in a phase
+// of an orderly stop. A request that has begun, or lies unread, is owed an
+// answer; and one is expected on a connection that is new.
+func MayCloseAtShutdown(now time.Time, phase Phase, c Idle) bool {
+	switch {
+	case c.Begun || c.Unread:
+		return false
+	case phase >= Expired:
+		return true
+	case phase >= Closing:
+		return c.Spoken || now.Sub(c.Since) >= SpeakTime
+	}
+	return false
+}
+
+// EvictionRank tells whether an idle connection may be closed to make room for
+// others, and how soon among them: those of the lowest rank go first, and of
+// one rank the one that has been idle longest.
+func EvictionRank(now time.Time, c Idle) (rank int, may bool) {
+	const silent, betweenRequests, unspoken, stalled = 0, 1, 2, 3
+	age := now.Sub(c.Since)
+	switch {
+	case c.Unread:
+		return 0, false
+	case c.Begun:
+		return stalled, age >= SpeakTime // before, the rest may have come
+	case c.Spoken:
+		return betweenRequests, true
+	case age >= SpeakTime:
+		return silent, true
+	}
+	return unspoken, age >= SpareTime
+}
--- /dev/null
+++ b/internal/lifecycle/shutdown.go
@@ -0,0 +1,45 @@
+package lifecycle
+
+import "time"
+
+// What a platform grants a node that it tells to end: it kills it no sooner
+// than the longest deadline, or killCap if that is less, and killSlack after
+// the signal, and sends it new connections for arrivals at most.
+const (
+	killCap   = 3 * time.Second
+	killSlack = 700 * time.Millisecond
+	arrivals  = 400 * time.Millisecond
+)
+
+const (
+	exitTime   = 50 * time.Millisecond  // for the process to end by itself
+	writeTime  = 200 * time.Millisecond // for the last answers to be written, by a process that has little CPU
+	arrivalLag = 100 * time.Millisecond // a connection made at the last moment is still accepted, and its request read
+	refuseTime = 50 * time.Millisecond  // for a refusal to reach a client that is still sending
+	closeTime  = time.Second            // clients are asked to close so long before the last answers are due
+)
+
+// ShutdownPlan is when the steps of an orderly stop are due, counted from the
+// termination signal. Accept <= Close <= Answer < Refuse < End.
+type ShutdownPlan struct {
+	Accept time.Duration // new connections are accepted at least until then
+	Close  time.Duration // then the listener closes, and clients are asked to close
+	Answer time.Duration // then all that has been taken gets its final answer, whatever is still out
+	Refuse time.Duration // then requests that have not come whole are refused
+	End    time.Duration // then what is left is cut
+}
+
+// PlanShutdown has the steps end before the kill, for a node whose classes'
+// longest deadline is given. One without a platform (capped is false) has no cap.
+func PlanShutdown(longest time.Duration, capped bool) ShutdownPlan {
+	kill := longest + killSlack
+	if capped {
+		kill = min(longest, killCap) + killSlack
+	}
+	p := ShutdownPlan{End: kill - exitTime}
+	p.Refuse = p.End - refuseTime
+	p.Answer = p.End - writeTime
+	p.Accept = min(arrivals+arrivalLag, p.Answer)
+	p.Close = max(p.Accept, p.Answer-closeTime)
+	return p
+}
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/lifecycle"
 	"indigotack/internal/neterr"
 	"indigotack/internal/wire"
 )
@@ -49,7 +50,9 @@
 
 // pool keeps connections to servers. It never sends anything itself.
 type pool struct {
+	*observer
 	dialer   net.Dialer
+	grace    time.Duration // within which sends to removed servers must have ended
 	maxIdle  time.Duration
 	rest     time.Duration
 	maxBody  int  // of an answer
@@ -68,7 +71,8 @@
 	address string
 	since   int64
 	closed  bool
-	idle    []*conn // the one used last comes last
+	removed time.Time // when it was closed
+	idle    []*conn   // the one used last comes last
 }
 
 type conn struct {
@@ -90,8 +94,8 @@
 	return n, err
 }
 
-func newPool(s decide.Settings, most int) *pool {
-	p := &pool{most: most, rest: restTime, maxBody: maxBody, backends: map[decide.ServerID]*backend{}, idle: lru.New(),
+func newPool(s decide.Settings, most int, o *observer) *pool {
+	p := &pool{observer: o, grace: s.DrainGrace, most: most, rest: restTime, maxBody: maxBody, backends: map[decide.ServerID]*backend{}, idle: lru.New(),
 		dialer: net.Dialer{Timeout: s.ConnectTimeout, KeepAlive: -1}}
 	if p.maxIdle = time.Duration(idlePart * float64(s.ConnIdle)); s.ConnIdle <= 0 {
 		p.maxIdle = time.Minute
@@ -116,8 +120,7 @@
 		if b.address == address && b.since == since {
 			return
 		}
-		b.closed = true
-		p.drop(b)
+		p.close(b)
 	}
 	p.backends[id] = &backend{address: address, since: since}
 }
@@ -127,8 +130,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if b := p.backends[id]; b != nil {
-		b.closed = true
-		p.drop(b)
+		p.close(b)
 		delete(p.backends, id)
 	}
 }
@@ -142,6 +144,13 @@
 	}
 }
 
+// close has nothing new sent to a backend.
+func (p *pool) close(b *backend) {
+	b.closed, b.removed = true, time.Now()
+	p.drop(b)
+}
+
+// drop closes a backend's idle connections.
 func (p *pool) drop(b *backend) {
 	for _, c := range b.idle {
 		c.Conn.Close()
@@ -316,10 +325,13 @@
 // silent tells whether an idle connection is open with nothing to read.
 func silent(c net.Conn) bool {
 	raw := rawOf(c)
-	unread, over := glance(raw)
+	unread, over := peek(raw)
 	return raw != nil && !unread && !over
 }
 
+// longAgo is a deadline that ends what a connection is doing at once.
+var longAgo = time.Time{}.Add(time.Hour)
+
 // outbound is what goes to a server for a client's request.
 type outbound struct {
 	method string
@@ -331,8 +343,8 @@
 	over   atomic.Bool // it has its final answer
 }
 
-// unwanted tells whether nobody waits for a server's answer any more.
-func (o *outbound) unwanted() bool { return o.left != nil && o.left() || o.over.Load() }
+// clientGone tells whether the client has disconnected.
+func (o *outbound) clientGone() bool { return o.left != nil && o.left() }
 
 // bytes writes the request in full, so that one write sends it and its result
 // tells whether the last byte left.
@@ -371,21 +383,27 @@
 	if !ok {
 		return result{code: decide.Moot} // an attempt without an end could hang for ever
 	}
-	msg, err := o.bytes(time.Until(end))
-	if err != nil {
-		return result{code: decide.Moot}
-	}
 	c, err := p.get(ctx, id)
 	if err != nil {
 		return result{code: unsent(ctx, err), err: err}
 	}
-	// The connection may have been long in coming, and what was decided before
-	// may not be right any more: the list may name another process, or none.
-	if o.unwanted() || c.stale() || ctx.Err() != nil || !time.Now().Before(end) || !by.IsZero() && !time.Now().Before(by) {
+	// The connection may have been long in coming, so that only now it is known
+	// how much time is left.
+	msg, err := o.bytes(time.Until(end))
+	if err != nil {
+		c.release()
+		return result{code: decide.Moot, err: err}
+	}
+	// And what was decided before may not be right any more: the list may name
+	// another process, or none.
+	begun := time.Now()
+	if denial := lifecycle.MayBegin(begun, o.attempt(c, end, by)); denial != lifecycle.Allowed || ctx.Err() != nil {
 		c.release() // nothing was sent on it
-		return result{code: decide.Moot}
+		p.count(eventDenial, string(denial))
+		return result{code: decide.Moot, err: ctx.Err()}
 	}
-	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	defer p.checkSend(begun, end, c)
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
 	defer stop()
 	if sent, err := c.Write(msg); err != nil {
 		c.discard()
@@ -409,6 +427,26 @@
 	return res
 }
 
+// attempt is what is known of an attempt on a connection right before its first byte.
+func (o *outbound) attempt(c *conn, end, repeatBy time.Time) lifecycle.Attempt {
+	gone := o.clientGone() // first, as it takes a system call, in which the rest may change
+	return lifecycle.Attempt{ClientGone: gone, RequestEnded: o.over.Load(), EndpointRemoved: c.stale(),
+		Deadline: end, RepeatBy: repeatBy, EarlierMayRun: !repeatBy.IsZero()}
+}
+
+// checkSend tells of an attempt that should not have begun when it did.
+func (p *pool) checkSend(begun, end time.Time, c *conn) {
+	p.mu.Lock()
+	removed := c.of.removed
+	p.mu.Unlock()
+	if removed.After(begun) {
+		removed = time.Time{}
+	}
+	if violation, found := lifecycle.CheckSend(begun, end, removed, p.grace); found {
+		p.violation(violation, "address", c.of.address)
+	}
+}
+
 var (
 	errNotListed = errors.New("the server is not listed")
 	errTooMany   = errors.New("too many connections")
--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -80,7 +80,7 @@
 }
 
 func testPool(address string) *pool {
-	p := newPool(decide.Settings{ConnectTimeout: enough, ConnIdle: time.Hour}, 100)
+	p := newPool(decide.Settings{ConnectTimeout: enough, ConnIdle: time.Hour}, 100, newObserver(quiet))
 	p.set(1, address, 0)
 	p.rest = 0 // tests need not wait
 	return p
@@ -200,7 +200,7 @@
 	if got := try(t, testPool(refusing(t)), enough); got.code != decide.ConnectFailed {
 		t.Errorf("outcome %d, want ConnectFailed", got.code)
 	}
-	p := newPool(decide.Settings{}, 100)
+	p := newPool(decide.Settings{}, 100, newObserver(quiet))
 	if got := try(t, p, enough); got.code != decide.Moot {
 		t.Errorf("outcome %d of a server not listed, want Moot", got.code)
 	}
@@ -588,7 +588,7 @@
 // TestEvictionInOrder: the connection that has been idle longest goes first,
 // whichever server's, and the books of idle ones agree.
 func TestEvictionInOrder(t *testing.T) {
-	p := newPool(decide.Settings{ConnectTimeout: enough, ConnIdle: time.Hour}, 1000)
+	p := newPool(decide.Settings{ConnectTimeout: enough, ConnIdle: time.Hour}, 1000, newObserver(quiet))
 	server := backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) { r.ReadByte() })
 	for i := range 5 {
 		p.set(decide.ServerID(i), server, 0)
@@ -629,7 +629,7 @@
 
 // TestManyServersShareConnections: of many servers each keeps few idle connections.
 func TestManyServersShareConnections(t *testing.T) {
-	p := newPool(decide.Settings{ConnectTimeout: enough, ConnIdle: time.Hour}, 100)
+	p := newPool(decide.Settings{ConnectTimeout: enough, ConnIdle: time.Hour}, 100, newObserver(quiet))
 	server := backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) { r.ReadByte() })
 	for i := range 1000 {
 		p.set(decide.ServerID(i), server, 0)
@@ -653,7 +653,7 @@
 func BenchmarkEvict(b *testing.B) {
 	for _, servers := range []int{10, 10000} {
 		b.Run(fmt.Sprint(servers), func(b *testing.B) {
-			p := newPool(decide.Settings{}, 1<<30)
+			p := newPool(decide.Settings{}, 1<<30, newObserver(quiet))
 			for i := range servers {
 				p.set(decide.ServerID(i), "127.0.0.1:1", 0)
 			}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -14,18 +14,33 @@
 // client is a client's connection, asked about what this process can't know by
 // itself: it may have stood still, or had no CPU, while requests came and
 // clients gave up. The kernel did not.
-type client struct{ raw syscall.RawConn } // nil where there is no socket to ask
+type client struct{ conn *clientConn } // nil where there is none to ask
+
+// raw is the client's socket; nil where there is none to ask.
+func (c client) raw() syscall.RawConn {
+	if c.conn == nil {
+		return nil
+	}
+	return c.conn.raw
+}
+
+// owe notes that a whole request has been read from the client.
+func (c client) owe() {
+	if c.conn != nil {
+		c.conn.owe()
+	}
+}
 
 type clientKey struct{}
 
 // withClient keeps a connection with its requests, for http.Server's ConnContext.
 func withClient(ctx context.Context, c net.Conn) context.Context {
-	l, ok := c.(*limitedConn)
-	if !ok || l.raw == nil {
+	conn, ok := c.(*clientConn)
+	if !ok || conn.raw == nil {
 		return ctx
 	}
-	ctx, l.over = context.WithCancel(ctx)
-	return context.WithValue(ctx, clientKey{}, client{l.raw})
+	ctx, conn.cancel = context.WithCancel(ctx)
+	return context.WithValue(ctx, clientKey{}, client{conn})
 }
 
 func clientOf(r *http.Request) client {
@@ -38,11 +53,12 @@
 // unread. It is now where the kernel can't tell.
 func (c client) spokeAt() time.Time {
 	now := time.Now()
-	if c.raw == nil {
+	raw := c.raw()
+	if raw == nil {
 		return now
 	}
 	var info *unix.TCPInfo
-	err := c.raw.Control(func(fd uintptr) {
+	err := raw.Control(func(fd uintptr) {
 		info, _ = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
 	if err != nil || info == nil {
@@ -56,9 +72,9 @@
 // server's own reader hears of that too, but only when it runs, and of nothing
 // behind the first byte that follows a request.
 func (c client) left() bool {
-	unread, over := glance(c.raw)
+	unread, over := peek(c.raw())
 	if unread { // what it said says nothing of what came behind it
-		over = polled(c.raw, unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR|unix.POLLNVAL) != 0
+		over = polled(c.raw(), unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR|unix.POLLNVAL) != 0
 	}
 	return over
 }
@@ -73,10 +89,10 @@
 	return nil
 }
 
-// glance tells, and takes nothing, whether bytes lie unread on a connection,
+// peek tells, and takes nothing, whether bytes lie unread on a connection,
 // else whether the other side has ended its sending or the connection is
 // broken. Of no socket it tells neither.
-func glance(raw syscall.RawConn) (unread, over bool) {
+func peek(raw syscall.RawConn) (unread, over bool) {
 	if raw == nil {
 		return false, false
 	}
@@ -100,7 +116,11 @@
 	one := []unix.PollFd{{Events: events}}
 	if err := raw.Control(func(fd uintptr) {
 		one[0].Fd = int32(fd)
-		unix.Poll(one, 0) // an error leaves nothing told
+		for {
+			if _, err := unix.Poll(one, 0); !errors.Is(err, unix.EINTR) {
+				return // any other error leaves nothing told
+			}
+		}
 	}); err != nil {
 		return unix.POLLNVAL
 	}
--- /dev/null
+++ b/internal/node/clientconn.go
@@ -0,0 +1,175 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"time"
+
+	"indigotack/internal/lifecycle"
+)
+
+// disconnectCheck is how often a client that said too much is looked after.
+const disconnectCheck = 50 * time.Millisecond
+
+// refusal is what a client gets whose request has not come whole when the node ends.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// clientConn is a client's connection.
+type clientConn struct {
+	net.Conn
+	raw     syscall.RawConn
+	of      *limited
+	cancel  context.CancelFunc // ends the connection's requests; set before they are read
+	closed  bool               // guarded by of.mu, as the rest is
+	refused bool               // what comes is read and dropped
+	owed    bool               // a whole request has been read, and nothing of its answer is written
+	ahead   bool               // the first byte of the next request has been read
+	watched bool
+}
+
+// Read notes that a request has begun in the same instant in which it takes
+// bytes from the connection. net/http tells of a request only when it
+// has read its head whole, and what closes the connection until then would
+// cost the client its answer: to the client the request was taken.
+func (c *clientConn) Read(b []byte) (n int, err error) {
+	if c.raw == nil || len(b) == 0 {
+		return c.Conn.Read(b)
+	}
+	waited := c.raw.Read(func(fd uintptr) bool {
+		c.of.mu.Lock()
+		defer c.of.mu.Unlock()
+		if c.closed {
+			err = net.ErrClosed
+			return true
+		}
+		for {
+			n, err = syscall.Read(int(fd), b)
+			if !errors.Is(err, syscall.EINTR) {
+				break
+			}
+		}
+		if errors.Is(err, syscall.EAGAIN) {
+			return false
+		}
+		if c.refused && n > 0 {
+			return false
+		}
+		if idle, is := c.of.idle[c]; n > 0 && is {
+			idle.Since, idle.Begun = time.Now(), true
+			c.of.idle[c] = idle
+		}
+		if n == 1 && len(b) == 1 {
+			// net/http asks for one byte while a request is in hand, to hear
+			// of its client's going. Now it has one and looks no further.
+			c.ahead = true
+			if !c.watched {
+				c.watched = true
+				go c.watch()
+			}
+		}
+		return true
+	})
+	switch {
+	case waited != nil:
+		return 0, waited
+	case err != nil: // as a reset tells, or the close here, that nobody is left to be told of a bad request
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// watch ends the requests of a client that goes after it has sent more than
+// the request in hand, until that has its answer.
+func (c *clientConn) watch() {
+	for client := (client{c}); ; time.Sleep(disconnectCheck) {
+		c.of.mu.Lock()
+		c.watched = c.ahead && !c.closed
+		on := c.watched
+		c.of.mu.Unlock()
+		if !on {
+			return
+		}
+		if client.left() {
+			c.cancel()
+			return
+		}
+	}
+}
+
+// pending tells whether something has come that has not been read.
+func (c *clientConn) pending() bool {
+	unread, _ := peek(c.raw)
+	return unread
+}
+
+// end gives the slot back, once, and nothing is read from then on. The caller
+// holds of.mu, and closes the connection when it has let go of it: a close
+// waits for whoever reads, and a reader for mu.
+func (c *clientConn) end() {
+	if !c.closed {
+		c.closed = true
+		delete(c.of.conns, c)
+		delete(c.of.idle, c)
+	}
+}
+
+// Close closes the connection. One on which an answer is owed should not be,
+// unless its client has gone.
+func (c *clientConn) Close() error {
+	gone := client{c}.left()
+	err := c.Conn.Close()
+	c.of.mu.Lock()
+	defer c.of.mu.Unlock()
+	if c.owed && !gone {
+		c.of.violation(lifecycle.ClosedUnanswered, "client", c.RemoteAddr())
+	}
+	c.end()
+	return err
+}
+
+// owe notes that a whole request has been read.
+func (c *clientConn) owe() {
+	c.of.mu.Lock()
+	defer c.of.mu.Unlock()
+	c.owed = true
+}
+
+// Write notes that an answer has begun.
+func (c *clientConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.of.mu.Lock()
+	defer c.of.mu.Unlock()
+	if n > 0 {
+		c.owed = false
+	}
+	return n, err
+}
+
+// refuse answers in the place of the server a request of which a part is
+// missing, and drops what else comes. The caller holds of.mu, and nobody else
+// writes, as the server still reads.
+func (c *clientConn) refuse() {
+	c.refused = true
+	c.of.observer.count(eventRequest, "refused_unfinished")
+	c.Conn.SetWriteDeadline(time.Now().Add(refuseWriteTime))
+	if _, err := c.Conn.Write([]byte(refusal)); err == nil {
+		c.CloseWrite()
+	}
+}
+
+// refuseWriteTime is for a refusal to fit into the kernel's buffer, where it does at once.
+const refuseWriteTime = time.Millisecond
+
+// CloseWrite ends the sending alone. net/http needs it to let a client read an
+// answer to a request of which it has not sent all.
+func (c *clientConn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/lifecycle"
 )
 
 var quiet = slog.New(slog.DiscardHandler)
@@ -170,7 +171,7 @@
 				t.Errorf("%s: %s is at %+v, want %s", when, name, b, address)
 			}
 		}
-		if n.front.ready.Load() != (listed > 0) {
+		if (n.front.phase() == lifecycle.Ready) != (listed > 0) {
 			t.Errorf("%s: ready is wrong", when)
 		}
 	}
--- a/internal/node/extremes_test.go
+++ b/internal/node/extremes_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/lifecycle"
 )
 
 // TestExtremeSettings: under the settings of whatever customer, with a server
@@ -57,7 +58,7 @@
 			for _, c := range set.Classes {
 				longest = max(longest, c.Deadline)
 			}
-			n.front.plan = func() stopPlan { return planStop(longest, true) }
+			n.front.plan = func() lifecycle.ShutdownPlan { return lifecycle.PlanShutdown(longest, true) }
 			n.onLoop(t, func() {
 				n.follow([]entry{{Name: "s-2", Address: "127.0.0.1:1", Zone: "a", Kind: "m2", Status: "draining", Weight: 1}}, 2, decide.ListChanges)
 			})
--- a/internal/node/listener_test.go
+++ b/internal/node/listener_test.go
@@ -117,12 +117,12 @@
 	}
 	io.WriteString(conn, text)
 	ask()
-	var resting *limitedConn
+	var resting *clientConn
 	waitUntil(t, "the connection to rest", func() bool {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		for c, u := range l.unused {
-			if u.spoken {
+		for c, u := range l.idle {
+			if u.Spoken {
 				resting = c
 			}
 		}
--- a/internal/node/mistakes_faulty.go
+++ b/internal/node/mistakes_faulty.go
@@ -28,9 +28,9 @@
 
 // afterAnswer: "answers-twice" says more on each tenth request's connection.
 func afterAnswer(r *http.Request) {
-	if c := clientOf(r); mistake == "answers-twice" && c.raw != nil && count.Add(1)%10 == 0 {
+	if c := clientOf(r); mistake == "answers-twice" && c.raw() != nil && count.Add(1)%10 == 0 {
 		time.AfterFunc(3*time.Millisecond, func() {
-			c.raw.Control(func(fd uintptr) { syscall.Write(int(fd), []byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")) })
+			c.raw().Control(func(fd uintptr) { syscall.Write(int(fd), []byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")) })
 		})
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,7 +34,7 @@
 	}
 	n := &Node{cfg: cfg, owner: newOwner(set, cfg.Seed, servers, newObserver(log))}
 	n.front = platformFront(n, clients)
-	n.owner.listChanged = func(servers int) { n.front.ready.Store(servers > 0) }
+	n.owner.listChanged = func(servers int) { n.front.life.SetReady(servers > 0) }
 	n.owner.ask = func(fetch, watch bool) { n.discovery.ask(n.ctx, fetch, watch) }
 	n.discovery = n.discoveryAt(cfg.Discovery)
 	n.discovery.index = cfg.known.Index
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/lifecycle"
 )
 
 func testConfig(discovery string) Config {
@@ -96,8 +97,8 @@
 	n := &running{Node: New(cfg, quiet), address: ln.Addr().String(), stop: stop, ended: make(chan error, 1), accepting: accepting}
 	lingered := make(chan struct{})
 	n.linger = sync.OnceFunc(func() { close(lingered) })
-	n.front.linger = func(func() int, time.Time, stopPlan) { <-lingered }
-	n.front.plan = func() stopPlan { return planStop(2*enough, false) } // tests that are not about it have time
+	n.front.drain = func(func() int) { <-lingered }
+	n.front.plan = func() lifecycle.ShutdownPlan { return lifecycle.PlanShutdown(2*enough, false) } // tests that are not about it have time
 	go func() { n.ended <- n.Run(ctx, accepting) }()
 	t.Cleanup(func() {
 		stop()
@@ -452,11 +453,11 @@
 	}
 	ask("before")
 	n.stop()
-	waitUntil(t, "the order to stop", func() bool { return n.front.endsAt.Load() != 0 })
+	waitUntil(t, "the order to stop", func() bool { return n.front.phase() >= lifecycle.Draining })
 	if resp := ask("after"); resp.Close {
 		t.Error("the client is told to close while the node can still serve it")
 	}
-	n.front.leaving.Store(true)
+	n.front.life.Close()
 	if resp := ask("last"); !resp.Close {
 		t.Error("the client is not told to close at the end")
 	}
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"indigotack/internal/eventlog"
+	"indigotack/internal/lifecycle"
 	"indigotack/internal/metrics"
 )
 
@@ -20,6 +21,8 @@
 	eventList       = "lists"              // a list of servers was taken up
 	eventDiscovery  = "discovery_calls"    // a call to discovery has ended
 	eventPhase      = "phases"             // the node's life has gone on
+	eventDenial     = "denials"            // an attempt was not sent that the module wanted, as it may not be any more
+	eventViolation  = "violations"         // a rule was broken, which was found when it was too late
 )
 
 const (
@@ -62,6 +65,11 @@
 	o.log.Log(context.Background(), level, message, args...)
 }
 
+// violation counts and logs that a rule was broken.
+func (o *observer) violation(v lifecycle.Violation, args ...any) {
+	o.note(slog.LevelError, "rule violated", eventViolation, string(v), args...)
+}
+
 // summarize logs all counters until done is closed, whenever they have changed,
 // and once more then.
 func (o *observer) summarize(done <-chan struct{}) {
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -9,6 +9,7 @@
 
 	"indigotack/decide"
 	"indigotack/internal/clock"
+	"indigotack/internal/lifecycle"
 )
 
 const (
@@ -31,14 +32,15 @@
 	ask         func(fetch, watch bool) // the module's wishes for a list; nil where lists are pushed
 
 	// The rest belongs to the loop.
-	set      decide.Settings
-	ctx      context.Context
-	module   *decide.Module
-	ids      *ids
-	listed   map[string]decide.ServerID
-	entries  map[string]entry // as listed last
-	requests map[decide.RequestID]*request
-	queue    []decide.Event // that came of actions, to be handled next
+	set        decide.Settings
+	ctx        context.Context
+	module     *decide.Module
+	ids        *ids
+	listed     map[string]decide.ServerID
+	entries    map[string]entry // as listed last
+	startTimes startTimes
+	requests   map[decide.RequestID]*request
+	queue      []decide.Event // that came of actions, to be handled next
 }
 
 // request is a client's request until it is answered and its attempts have ended.
@@ -50,6 +52,7 @@
 	done     bool
 	attempts []sent
 	running  int
+	unsafe   bool          // a second run would do harm
 	window   time.Duration // of a keyed class: how long after the first send that may have run another one may be written; 0: any time
 	guard    *time.Timer
 	passable answer // a server's own account of its failure, where that may be passed on
@@ -86,8 +89,8 @@
 
 func newOwner(s decide.Settings, seed int64, sockets int, o *observer) *owner {
 	return &owner{observer: o, start: time.Now(), wall: time.Duration(clock.Wall().UnixNano()), inbox: make(chan func(), inboxSize), ended: make(chan struct{}),
-		backends: newPool(s, sockets), listChanged: func(int) {}, set: s, module: decide.New(s, seed), ids: newIDs(),
-		listed: map[string]decide.ServerID{}, entries: map[string]entry{}, requests: map[decide.RequestID]*request{}}
+		backends: newPool(s, sockets, o), listChanged: func(int) {}, set: s, module: decide.New(s, seed), ids: newIDs(),
+		listed: map[string]decide.ServerID{}, entries: map[string]entry{}, startTimes: newStartTimes(), requests: map[decide.RequestID]*request{}}
 }
 
 // run starts the loop. It goes on after ctx has ended, until stop is called.
@@ -115,11 +118,21 @@
 		case f := <-n.inbox:
 			f()
 		case <-ctx.Done():
+			n.checkEnd()
 			return
 		}
 	}
 }
 
+// checkEnd tells of requests that have no answer when the loop ends.
+func (n *owner) checkEnd() {
+	for id, r := range n.requests {
+		if !r.done {
+			n.violation(lifecycle.EndedWithRequests, "id", id)
+		}
+	}
+}
+
 // post has f run by the loop; once that has ended it does nothing.
 func (n *owner) post(f func()) {
 	select {
@@ -194,15 +207,19 @@
 		n.reject(r, answer{status: http.StatusServiceUnavailable}, "too_many_open")
 		return
 	}
-	if e.Patience = time.Until(r.deadline); e.Patience <= 0 || r.out.left() {
+	if e.Patience = time.Until(r.deadline); e.Patience <= 0 || r.out.clientGone() {
 		// It came while the process stood still, or lay unread for as long.
 		n.reject(r, answer{status: http.StatusServiceUnavailable}, "late_or_disconnected")
 		return
 	}
 	r.opened = time.Now()
 	n.requests[r.id] = r
-	if i := slices.IndexFunc(n.set.Classes, func(c decide.Class) bool { return c.Name == e.Class }); i >= 0 && n.set.Classes[i].Effect == decide.Keyed {
-		r.window = n.set.Classes[i].DedupWindow
+	if i := slices.IndexFunc(n.set.Classes, func(c decide.Class) bool { return c.Name == e.Class }); i >= 0 {
+		class := n.set.Classes[i]
+		r.unsafe = class.Effect == decide.Unsafe
+		if class.Effect == decide.Keyed {
+			r.window = class.DedupWindow
+		}
 	}
 	// The module ends a request at its deadline. The guard is for one that it
 	// does not end, as an answer in time is owed whatever it does.
@@ -290,21 +307,21 @@
 		n.log.Error("the module sends a request that is not open", "id", a.ID)
 		return
 	}
-	number := len(r.attempts)
-	left := time.Until(r.deadline)
-	if !r.done && (left <= 0 || r.out.left()) {
+	now, number := time.Now(), len(r.attempts)
+	denial := lifecycle.MayBegin(now, r.attempt(n.set.MayOverlap))
+	if denial == lifecycle.ClientGone || denial == lifecycle.DeadlinePassed {
 		n.outlived(r)
 	}
-	if a.Timeout != 0 {
-		left = min(left, a.Timeout)
+	end := r.deadline
+	if a.Timeout != 0 && now.Add(a.Timeout).Before(end) {
+		end = now.Add(a.Timeout)
 	}
-	ctx, cancel := context.WithTimeout(n.ctx, left)
-	began, by := time.Now(), r.writeBy()
-	r.attempts = append(r.attempts, sent{cancel: cancel, at: began})
-	if r.done || r.running > 0 && !n.set.MayOverlap {
+	repeatBy := r.repeatBy()
+	ctx, cancel := context.WithDeadline(n.ctx, end)
+	r.attempts = append(r.attempts, sent{cancel: cancel, at: now})
+	if denial != lifecycle.Allowed {
 		cancel()
-		r.attempts[number].never = true
-		n.queue = append(n.queue, decide.AttemptEnded{ID: r.id, Attempt: number, Server: a.Server, Over: r.done, Code: decide.Moot})
+		n.deny(r, number, a.Server, denial)
 		return
 	}
 	r.running++
@@ -314,19 +331,38 @@
 	server := instead(n, a.Server)
 	go func() {
 		defer cancel()
-		attempt := func() result { return n.backends.attempt(ctx, server, r.out, by) }
+		attempt := func() result { return n.backends.attempt(ctx, server, r.out, repeatBy) }
 		res := afterAttempt(attempt, attempt())
-		took := time.Since(began)
+		took := time.Since(now)
 		n.post(func() { n.attemptEnded(r, number, a.Server, took, res) })
 	}()
 }
 
-// writeBy is the moment from which the request may not be sent any more, as
+// deny has the module know that an attempt was not sent, as it may not be.
+func (n *owner) deny(r *request, number int, server decide.ServerID, denial lifecycle.Denial) {
+	n.note(slog.LevelInfo, "attempt denied", eventDenial, string(denial), "id", r.id, "attempt", number, "server", n.ids.byID[server])
+	r.attempts[number].never, r.attempts[number].code = true, decide.Moot
+	n.queue = append(n.queue, decide.AttemptEnded{ID: r.id, Attempt: number, Server: server, Over: r.done, Code: decide.Moot})
+}
+
+// attempt is what is known of a further attempt of the request.
+func (r *request) attempt(mayOverlap bool) lifecycle.Attempt {
+	return lifecycle.Attempt{RequestEnded: r.done, ClientGone: r.out.clientGone(), Deadline: r.deadline, RepeatBy: r.repeatBy(),
+		Outstanding: r.running, MayOverlap: mayOverlap, Unsafe: r.unsafe, EarlierMayRun: r.firstThatMayRun() >= 0}
+}
+
+// firstThatMayRun is the first attempt that may have run, in the order of
+// sending; -1 if none may.
+func (r *request) firstThatMayRun() int {
+	return slices.IndexFunc(r.attempts, func(a sent) bool { return !a.never })
+}
+
+// repeatBy is the moment from which the request may not be sent any more, as
 // servers may have forgotten by then what they have run of it; zero: there is
 // none. The module keeps to it when it decides, but a connection may be long
 // in coming.
-func (r *request) writeBy() time.Time {
-	first := slices.IndexFunc(r.attempts, func(a sent) bool { return !a.never }) // in the order of sending
+func (r *request) repeatBy() time.Time {
+	first := r.firstThatMayRun()
 	if r.window <= 0 || first < 0 {
 		return time.Time{}
 	}
@@ -384,6 +420,8 @@
 	})
 	n.noteList(entries, version, kind)
 	u := decide.ListUpdate{Kind: kind, Version: version}
+	now := n.now()
+	n.startTimes.observe(clock.Wall(), now)
 	missing := map[string]bool{}
 	if kind != decide.ListChanges {
 		for name := range n.listed {
@@ -393,7 +431,7 @@
 	for _, e := range entries {
 		id, state := n.ids.of(e.Name), listedAs(e, states[e.Status])
 		u.Entries = append(u.Entries, decide.Server{ID: id, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, State: state,
-			Size: e.Weight, StartedAt: time.Duration(startedAt(e)) * time.Millisecond})
+			Size: e.Weight, StartedAt: n.startTimes.place(e.Name, startedAt(e), now)})
 		if missing[e.Name] = state == decide.Gone; state != decide.Gone {
 			n.listed[e.Name] = id
 			if state == decide.Ready {
@@ -408,6 +446,7 @@
 		if gone {
 			n.backends.remove(n.ids.of(name))
 			n.ids.forget(name)
+			n.startTimes.forget(name)
 			delete(n.listed, name)
 		}
 	}
--- a/internal/node/sidecar.go
+++ b/internal/node/sidecar.go
@@ -17,6 +17,7 @@
 	"indigotack/decide"
 	"indigotack/internal/appconfig"
 	"indigotack/internal/clock"
+	"indigotack/internal/lifecycle"
 	"indigotack/internal/metrics"
 	"indigotack/internal/route"
 )
@@ -69,10 +70,10 @@
 	s.front.health = app.Health
 	s.front.times = times{head: app.Head, read: app.Request, write: app.Write, idle: app.Keep}
 	s.front.read = s.read
-	s.front.plan = func() stopPlan {
+	s.front.plan = func() lifecycle.ShutdownPlan {
 		s.mu.RLock()
 		defer s.mu.RUnlock()
-		return planStop(s.app.Longest(), false)
+		return lifecycle.PlanShutdown(s.app.Longest(), false)
 	}
 	return s, nil
 }
@@ -125,7 +126,7 @@
 // must not take the application's other traffic. It takes no lock, as the
 // loops call it and must never wait for those who post to them.
 func (s *Sidecar) noteReady(more int64) {
-	s.front.ready.Store(s.listed.Add(more) > 0)
+	s.front.life.SetReady(s.listed.Add(more) > 0)
 }
 
 // Reload takes up a checked application while the sidecar runs: routes,
@@ -366,7 +367,7 @@
 // complete adds what servers want to know and the client did not say.
 func (s *Sidecar) complete(h http.Header, r *http.Request, app *appconfig.App, c *route.Choice, id decide.RequestID) {
 	if h.Get("X-Request-Id") == "" {
-		h.Set("X-Request-Id", fmt.Sprintf("%s-%x-%s", app.Name, uint64(s.start.UnixNano()), id))
+		h.Set("X-Request-Id", fmt.Sprintf("%s-%x-%s", app.Name, uint64(clock.SinceEpoch(s.start)), id))
 	}
 	// Servers drop repeats by this header, wherever the client keeps its key.
 	if c.Effect == decide.Keyed && len(h["Idempotency-Key"]) == 0 {
--- a/internal/node/sidecar_test.go
+++ b/internal/node/sidecar_test.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"indigotack/internal/appconfig"
+	"indigotack/internal/lifecycle"
 )
 
 // beside is a sidecar under test, with the files that it runs from.
@@ -79,7 +80,7 @@
 	if b.Sidecar, err = NewSidecar(a, 1, slog.New(slog.NewTextHandler(b.log, nil))); err != nil {
 		t.Fatal(err)
 	}
-	b.front.linger = func(func() int, time.Time, stopPlan) {}
+	b.front.drain = func(func() int) {}
 	ctx, stop := context.WithCancel(context.Background())
 	b.stop = stop
 	go func() { b.done <- b.Run(ctx, ln) }()
@@ -89,7 +90,7 @@
 			t.Errorf("the sidecar ends with %v", err)
 		}
 	})
-	for until := time.Now().Add(enough); !b.front.ready.Load(); time.Sleep(time.Millisecond) {
+	for until := time.Now().Add(enough); b.front.phase() != lifecycle.Ready; time.Sleep(time.Millisecond) {
 		if time.Now().After(until) {
 			t.Fatal("the sidecar does not get ready")
 		}
--- a/internal/node/socketfaults_test.go
+++ b/internal/node/socketfaults_test.go
@@ -31,7 +31,7 @@
 			failing := &faultnet.Listener{Listener: ln}
 			failing.Script.Fail(slices.Repeat([]error{failure}, 5)...)
 			n := New(testConfig(refusing(t)), quiet)
-			n.front.ready.Store(true)
+			n.front.life.SetReady(true)
 			ctx, stop := context.WithCancel(context.Background())
 			ended := make(chan error, 1)
 			go func() { ended <- n.Run(ctx, failing) }()
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -9,31 +9,9 @@
 	"strings"
 	"testing"
 	"time"
-)
 
-// TestStopPlan: whatever the settings' deadlines, the steps come in order and
-// the last one before the kill, and connections that still come are taken.
-func TestStopPlan(t *testing.T) {
-	for _, longest := range []time.Duration{0, 50 * time.Millisecond, 100 * time.Millisecond, 500 * time.Millisecond, 900 * time.Millisecond,
-		time.Second, 2900 * time.Millisecond, 3 * time.Second, 4 * time.Second, time.Minute, time.Hour} {
-		for _, capped := range []bool{true, false} {
-			kill := longest + 700*time.Millisecond
-			if capped && longest > 3*time.Second {
-				kill = 3700 * time.Millisecond
-			}
-			p := planStop(longest, capped)
-			if p.accept > p.leave || p.leave > p.answer || p.answer >= p.end || p.end >= kill {
-				t.Errorf("longest %v, capped %v: %+v, want its steps in order and before the kill at %v", longest, capped, p, kill)
-			}
-			if p.accept <= 400*time.Millisecond {
-				t.Errorf("longest %v, capped %v: %+v, new connections come for 0.4 s", longest, capped, p)
-			}
-			if kill-p.answer < 200*time.Millisecond {
-				t.Errorf("longest %v, capped %v: %+v leaves no time to write answers before the kill at %v", longest, capped, p, kill)
-			}
-		}
-	}
-}
+	"indigotack/internal/lifecycle"
+)
 
 // TestStopAnswersAllThatWasTaken: requests whose clients would wait far longer
 // than the node lives, taken before the order to stop and after it, at a
@@ -41,13 +19,13 @@
 func TestStopAnswersAllThatWasTaken(t *testing.T) {
 	server, got, _ := silentServer(t)
 	n := startNode(t, server)
-	plan := stopPlan{answer: 500 * time.Millisecond, end: time.Minute}
-	n.front.plan = func() stopPlan { return plan }
+	plan := lifecycle.ShutdownPlan{Answer: 500 * time.Millisecond, Refuse: time.Minute, End: time.Minute}
+	n.front.plan = func() lifecycle.ShutdownPlan { return plan }
 	before, after := n.dial(t), n.dial(t)
 	before.ask(t, "saldo", "before", "600")
 	wait(t, got, "the attempt before the order")
 	n.stop()
-	waitUntil(t, "the order to stop", func() bool { return n.front.endsAt.Load() != 0 })
+	waitUntil(t, "the order to stop", func() bool { return n.front.phase() >= lifecycle.Draining })
 	after.ask(t, "saldo", "after", "600")
 	n.linger()
 	for name, c := range map[string]raw{"before": before, "after": after} {
@@ -71,7 +49,7 @@
 	late.ask(t, "saldo", "late", "60")
 	n.stop()
 	n.linger()
-	waitUntil(t, "the end of the stop's first part", n.front.leaving.Load)
+	waitUntil(t, "the end of the stop's first part", n.front.closing)
 	n.accepting.gate.Unlock()
 	if status := late.status(t); status != 200 {
 		t.Errorf("answer %d, want 200", status)
@@ -126,7 +104,7 @@
 	wait(t, got, "the attempt")
 	n.stop()
 	n.linger()
-	waitUntil(t, "the clients to be asked", n.front.leaving.Load)
+	waitUntil(t, "the clients to be asked", n.front.closing)
 	close(gate)
 	resp, err := http.ReadResponse(c.read, nil)
 	if err != nil || resp.StatusCode != 200 || !resp.Close {
@@ -147,7 +125,9 @@
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long)
 		}
 	}))
-	n.front.plan = func() stopPlan { return stopPlan{answer: 100 * time.Millisecond, end: 200 * time.Millisecond} }
+	n.front.plan = func() lifecycle.ShutdownPlan {
+		return lifecycle.ShutdownPlan{Answer: 100 * time.Millisecond, Refuse: 150 * time.Millisecond, End: 200 * time.Millisecond}
+	}
 	c := n.dial(t)
 	if err := c.SetReadBuffer(2048); err != nil {
 		t.Fatal(err)
@@ -176,3 +156,39 @@
 	}
 	t.Logf("%d of %d bytes, %v", len(body), len(long), err)
 }
+
+// TestStopRefusesWhatHasNotComeWhole: when the node ends, a client has sent half
+// a head, or half a body. It gets a refusal and the connection's end, whatever
+// it still sends.
+func TestStopRefusesWhatHasNotComeWhole(t *testing.T) {
+	whole := text("unsafe", "q")
+	for name, half := range map[string]string{"half a head": whole[:40], "half a body": whole[:len(whole)-2]} {
+		for _, goesOn := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", goes on ", goesOn), func(t *testing.T) {
+				t.Parallel()
+				n := startNode(t, serving(t))
+				n.front.plan = func() lifecycle.ShutdownPlan {
+					return lifecycle.ShutdownPlan{Answer: 100 * time.Millisecond, Refuse: 150 * time.Millisecond, End: enough}
+				}
+				c := n.dial(t)
+				fmt.Fprint(c, half)
+				n.takes(t, c, uint64(len(half)))
+				n.stop()
+				n.linger()
+				if status := c.status(t); status != 503 {
+					t.Errorf("answer %d, want 503", status)
+				}
+				if goesOn {
+					fmt.Fprint(c, whole[len(half):])
+				}
+				if b, err := c.read.ReadByte(); err != io.EOF {
+					t.Errorf("after the answer: %q, %v, want the end of the connection", b, err)
+				}
+				c.Close()
+				if err := wait(t, n.ended, "the node's end"); err != nil {
+					t.Errorf("the node ends with %v", err)
+				}
+			})
+		}
+	}
+}
