Keep the state of a view as soon as its disk takes writes again

Cause: a write that failed (ENOSPC, EIO) was tried again only with the next change of the view, so that a restart in between knew nothing of the last one; writes that a kill cut short left a file each. Measured: TestStateIsKeptWhenTheDiskRecovers and TestLeftoversOfAKillAreRemoved failed on the code before (the member was never kept in 30 s; the file was still there) and pass; internal/peers passes under the race detector.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -88,8 +88,10 @@
 
 // Start makes the node a member. It goes on until ctx ends; Leave tells the others.
 func Start(ctx context.Context, cfg Config, log *slog.Logger) (*Peers, error) {
-	if err := os.MkdirAll(cfg.State, 0o700); err != nil {
+	if err := os.MkdirAll(cfg.State, 0o700); err != nil && !mayPass(err) {
 		return nil, fmt.Errorf("peers: %w", err)
+	} else if err != nil {
+		log.Error("peers: the state folder can't be made for now", "err", err)
 	}
 	kept, err := loadState(cfg.State, cfg.Name)
 	if err != nil {
@@ -257,9 +259,11 @@
 		}
 	}
 	if err := s.save(p.cfg.State); err != nil {
-		p.log.Error("peers: the state is not kept; after a restart this node knows what it knew before", "err", err)
+		p.log.Error("peers: the state is not kept, which is tried again; after a restart this node would know what it knew before", "err", err)
+		p.dirty = true
+		return
 	}
-	p.dirty = false // it is tried again with the next change
+	p.dirty = false
 }
 
 // processName is a process's at the detector, and among its words.
--- a/internal/peers/store.go
+++ b/internal/peers/store.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"syscall"
 
 	"github.com/zeebo/xxh3"
 
@@ -16,7 +17,8 @@
 const (
 	stateFile   = "view.json"
 	stateFormat = "indigotack view 1"
-	maxState    = 8 << 20 // bytes; ten thousand members take a quarter
+	newSuffix   = ".new-*" // of a file that is being written
+	maxState    = 8 << 20  // bytes; ten thousand members take a quarter
 )
 
 // state is what a node keeps over its restarts.
@@ -39,6 +41,7 @@
 // torn, too large, of another form or of another node is an error, and is moved
 // aside so that nothing is lost.
 func loadState(dir, name string) (state, error) {
+	removeLeftovers(dir)
 	path := filepath.Join(dir, stateFile)
 	s, err := readState(path, name)
 	switch {
@@ -54,6 +57,20 @@
 	return state{}, err
 }
 
+// removeLeftovers removes what writes that were never finished have left.
+func removeLeftovers(dir string) {
+	leftovers, _ := filepath.Glob(filepath.Join(dir, stateFile+newSuffix)) // the pattern is sound
+	for _, path := range leftovers {
+		os.Remove(path) // it is tried again at the next start
+	}
+}
+
+// mayPass tells whether a failure to write is one of the disk, which may be over
+// soon, rather than of the folder's name or rights.
+func mayPass(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EIO) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EROFS)
+}
+
 func readState(path, name string) (s state, err error) {
 	info, err := os.Stat(path)
 	if err != nil {
@@ -98,7 +115,10 @@
 	if err != nil {
 		return err
 	}
-	f, err := os.CreateTemp(dir, stateFile+".new-*")
+	if err := os.MkdirAll(dir, 0o700); err != nil { // it may have failed at the start
+		return err
+	}
+	f, err := os.CreateTemp(dir, stateFile+newSuffix)
 	if err != nil {
 		return err
 	}
