Read a file again that can't be taken up at SIGHUP, and wait for the address at the start

Cause: a file that was half written or missing in the moment of SIGHUP was never read again, so that the node went on with an address of discovery that is no more; an address that the process before still held ended the start. A log reader that goes or does not read is a test now.

--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -11,7 +11,6 @@
 	"log/slog"
 	"math"
 	"math/rand/v2"
-	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -83,22 +82,20 @@
 		return err
 	}
 	limitMemory(cfg.MemoryMB)
-	ln, err := net.Listen("tcp", cfg.Listen)
+	log, flush := logger(cfg.Name)
+	defer flush()
+	ln, err := listen(ctx, cfg.Listen, log)
 	if err != nil {
 		return err
 	}
-	log, flush := logger(cfg.Name)
-	defer flush()
 	n := node.New(cfg, log)
-	go func() {
-		for range reload {
-			if cfg, err := node.LoadConfig(path); err != nil {
-				log.Error("not reloaded, the configuration before stays in force", "err", err)
-			} else {
-				n.Reload(cfg)
-			}
+	go reloadOn(context.WithoutCancel(ctx), reload, log, func() error {
+		next, err := node.LoadConfig(path)
+		if err == nil {
+			n.Reload(next)
 		}
-	}()
+		return err
+	})
 	return n.Run(ctx, ln)
 }
 
@@ -162,12 +159,12 @@
 	if cores := int(math.Ceil(app.Cores)); cores < runtime.GOMAXPROCS(0) {
 		runtime.GOMAXPROCS(cores)
 	}
-	ln, err := net.Listen("tcp", app.Address.String())
+	log, flush := logger(app.Name)
+	defer flush()
+	ln, err := listen(ctx, app.Address.String(), log)
 	if err != nil {
 		return err
 	}
-	log, flush := logger(app.Name)
-	defer flush()
 	s, err := node.NewSidecar(app, rand.Int64(), log)
 	if err != nil {
 		ln.Close()
@@ -179,18 +176,15 @@
 		return err
 	}
 	defer leave()
-	go func() {
-		for range reload {
-			next, err := appconfig.Load(path)
-			if err == nil {
-				err = s.Reload(next)
-			}
-			if err != nil {
-				log.Error("not reloaded, the file before stays in force", "err", err)
-				continue
-			}
+	go reloadOn(context.WithoutCancel(ctx), reload, log, func() error {
+		next, err := appconfig.Load(path)
+		if err == nil {
+			err = s.Reload(next)
+		}
+		if err == nil {
 			log.Info("reloaded", "file", path)
 		}
-	}()
+		return err
+	})
 	return s.Run(ctx, ln)
 }
--- a/cmd/indigotack/main_test.go
+++ b/cmd/indigotack/main_test.go
@@ -330,3 +330,113 @@
 		t.Errorf("started without a configuration it says %q, %v", out, err)
 	}
 }
+
+// TestLogReaderGoes: whoever reads the program's log goes away, or stops
+// reading. The program goes on serving, and ends in order.
+func TestLogReaderGoes(t *testing.T) {
+	for _, how := range []string{"goes away", "stops reading"} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			listen := freeAddress(t)
+			cmd := program(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","settings":{},
+				"known":{"index":1,"endpoints":[{"name":"s","address":%q,"status":"ready"}]}}`, listen, listen, listen))
+			reader, writer, err := os.Pipe()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer reader.Close()
+			cmd.Stderr = writer
+			if err := cmd.Start(); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { cmd.Process.Kill() })
+			writer.Close()
+			awaitReady(t, listen)
+			if how == "goes away" {
+				reader.Close()
+			}
+			// Each is logged; the pipe holds 64 KiB.
+			for i := range 40 {
+				req, err := http.NewRequest(http.MethodGet, "http://"+listen+"/api/x", nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				req.Header.Set("X-Request-Id", strings.Repeat("x", 100))
+				req.Header.Set("X-Class", fmt.Sprint(i, strings.Repeat("y", 4000)))
+				resp, err := http.DefaultClient.Do(req)
+				if err != nil {
+					t.Fatalf("request %d: %v", i, err)
+				}
+				resp.Body.Close()
+				if i%5 == 4 {
+					time.Sleep(time.Second / 4) // the log takes so many lines of a kind in a second
+				}
+			}
+			if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+			if err := cmd.Wait(); err != nil {
+				t.Errorf("it ends with %v, want status 0", err)
+			}
+		})
+	}
+}
+
+// TestReloadOfAFileThatIsBeingWritten: SIGHUP comes while the new configuration
+// is half written, or not there for a moment. It is taken up when it is whole.
+func TestReloadOfAFileThatIsBeingWritten(t *testing.T) {
+	for _, how := range []string{"half written", "missing"} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			listen, moved := freeAddress(t), freeAddress(t)
+			config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","settings":{},
+				"known":{"index":1,"endpoints":[{"name":"s","address":%q,"status":"ready"}]}}`, listen, listen, listen)
+			cmd := program(t, config)
+			said := start(t, cmd)
+			awaitReady(t, listen)
+			path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "GW_CONFIG=")
+			next := strings.Replace(config, fmt.Sprintf(`"discovery":%q`, listen), fmt.Sprintf(`"discovery":%q`, moved), 1)
+			var err error
+			if how == "missing" {
+				err = os.Remove(path)
+			} else {
+				err = os.WriteFile(path, []byte(next[:len(next)/2]), 0o600)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(300 * time.Millisecond)
+			if err := os.WriteFile(path, []byte(next), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			for timeout := time.After(5 * time.Second); ; {
+				select {
+				case line := <-said:
+					if strings.Contains(line, "discovery has moved") {
+						return
+					}
+				case <-timeout:
+					t.Fatal("the new configuration is not taken up")
+				}
+			}
+		})
+	}
+}
+
+// TestStartWaitsForItsAddress: the process before still holds the address when
+// the next one starts.
+func TestStartWaitsForItsAddress(t *testing.T) {
+	before, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listen := before.Addr().String()
+	start(t, program(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","settings":{},
+		"known":{"index":1,"endpoints":[{"name":"s","address":%q,"status":"ready"}]}}`, listen, listen, listen)))
+	time.Sleep(500 * time.Millisecond)
+	before.Close()
+	awaitReady(t, listen)
+}
