Take the last byte of a long first line for no byte of the next request

Cause: net/http asks for one byte both while a request is in hand and where its buffer has room for one more of a first line of 4095 bytes; the second was taken for the first, so that the connection counted as begun for good: not closed at a stop, and now even answered with a refusal. Change: one byte that was asked for alone is the next request's only while a request is in hand. Builds with the tag faulty fail a part of accepts and connects and shorten reads, by INDIGOTACK_SOCKET_FAULTS, for the soak. Measured: TestLongHeadIsNoNextRequest failed before ("the next request is taken for begun") and passes; the stop, idle and leaving tests of internal/node pass under the race detector.

--- a/internal/faultnet/faultnet.go
+++ b/internal/faultnet/faultnet.go
@@ -1,10 +1,11 @@
 // Package faultnet makes socket operations of this process fail as the kernel
-// documents, for tests: a listener whose accepts fail, and a hook for a
-// net.Dialer that has connects fail.
+// documents, for tests and rehearsals: a listener whose accepts fail, and a hook
+// for a net.Dialer that has connects fail.
 package faultnet
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"os"
 	"sync"
@@ -33,8 +34,38 @@
 	return s.calls
 }
 
-// next is the error of the next call.
-func (s *Script) next() error {
+// Source gives the errors of calls.
+type Source interface {
+	// Next is the error of the next call; nil lets it pass.
+	Next() error
+}
+
+// Random is a Source in which a part of the calls fail, each with one of some
+// errors, by a seed. It is safe for concurrent use.
+type Random struct {
+	mu     sync.Mutex
+	rng    *rand.Rand
+	part   float64
+	errors []error
+}
+
+// NewRandom returns a Random.
+func NewRandom(seed uint64, part float64, errors ...error) *Random {
+	return &Random{rng: rand.New(rand.NewPCG(seed, 13)), part: part, errors: errors}
+}
+
+// Next draws whether the next call fails, and how.
+func (r *Random) Next() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.rng.Float64() >= r.part {
+		return nil
+	}
+	return r.errors[r.rng.IntN(len(r.errors))]
+}
+
+// Next is the error of the next call.
+func (s *Script) Next() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -46,24 +77,24 @@
 	return err
 }
 
-// Listener is a listener whose accepts fail by a script.
+// Listener is a listener whose accepts fail.
 type Listener struct {
 	net.Listener
-	Script Script
+	Source Source
 }
 
 // Accept fails before it asks the kernel, so that no connection is lost.
 func (l *Listener) Accept() (net.Conn, error) {
-	if err := l.Script.next(); err != nil {
+	if err := l.Source.Next(); err != nil {
 		return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.Addr(), Err: os.NewSyscallError("accept4", err)}
 	}
 	return l.Listener.Accept()
 }
 
-// Connects is a net.Dialer's ControlContext that has connects fail by a script.
-func Connects(s *Script) func(context.Context, string, string, syscall.RawConn) error {
+// Connects is a net.Dialer's ControlContext that has connects fail.
+func Connects(s Source) func(context.Context, string, string, syscall.RawConn) error {
 	return func(context.Context, string, string, syscall.RawConn) error {
-		if err := s.next(); err != nil {
+		if err := s.Next(); err != nil {
 			return os.NewSyscallError("connect", err)
 		}
 		return nil
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -89,7 +89,7 @@
 // Read notes how the connection ended, which tells a break from an answer
 // that can't be read, or is longer than its budget.
 func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+	n, err := c.Conn.Read(shortRead(b))
 	c.broken = err
 	return n, err
 }
@@ -97,6 +97,7 @@
 func newPool(s decide.Settings, most int, o *observer) *pool {
 	p := &pool{observer: o, grace: s.DrainGrace, most: most, rest: restTime, maxBody: maxBody, backends: map[decide.ServerID]*backend{}, idle: lru.New(),
 		dialer: net.Dialer{Timeout: s.ConnectTimeout, KeepAlive: -1}}
+	failConnects(&p.dialer)
 	if p.maxIdle = time.Duration(idlePart * float64(s.ConnIdle)); s.ConnIdle <= 0 {
 		p.maxIdle = time.Minute
 	}
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -38,6 +38,8 @@
 	if c.raw == nil || len(b) == 0 {
 		return c.Conn.Read(b)
 	}
+	asked := len(b)
+	b = shortRead(b)
 	waited := c.raw.Read(func(fd uintptr) bool {
 		c.of.mu.Lock()
 		defer c.of.mu.Unlock()
@@ -57,18 +59,8 @@
 		if c.refused && n > 0 {
 			return false
 		}
-		if idle, is := c.of.idle[c]; n > 0 && is {
-			idle.Since, idle.Begun = time.Now(), true
-			c.of.idle[c] = idle
-		}
-		if n == 1 && len(b) == 1 {
-			// net/http asks for one byte while a request is in hand, to hear
-			// of its client's going. Now it has one and looks no further.
-			c.ahead = true
-			if !c.watched {
-				c.watched = true
-				go c.watch()
-			}
+		if n > 0 {
+			c.heard(asked == 1)
 		}
 		return true
 	})
@@ -83,6 +75,26 @@
 	return n, nil
 }
 
+// heard notes that bytes have been read, maybe by one who asked for one byte
+// alone. The caller holds of.mu.
+func (c *clientConn) heard(oneAsked bool) {
+	if idle, is := c.of.idle[c]; is { // of a request that is not whole yet
+		idle.Since, idle.Begun = time.Now(), true
+		c.of.idle[c] = idle
+		return
+	}
+	if !oneAsked {
+		return
+	}
+	// net/http asks for one byte while a request is in hand, to hear of its
+	// client's going. Now it has one and looks no further.
+	c.ahead = true
+	if !c.watched {
+		c.watched = true
+		go c.watch()
+	}
+}
+
 // watch ends the requests of a client that goes after it has sent more than
 // the request in hand, until that has its answer.
 func (c *clientConn) watch() {
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -25,6 +26,7 @@
 type limited struct {
 	net.Listener
 	*observer
+	raw  syscall.RawConn // the listener's
 	most int
 
 	mu      sync.Mutex
@@ -34,7 +36,7 @@
 }
 
 func limitListener(ln net.Listener, most int, o *observer) *limited {
-	return &limited{Listener: ln, observer: o, most: most, conns: map[*clientConn]bool{}, idle: map[*clientConn]lifecycle.Idle{}}
+	return &limited{Listener: failingAccepts(ln), raw: rawOf(ln), observer: o, most: most, conns: map[*clientConn]bool{}, idle: map[*clientConn]lifecycle.Idle{}}
 }
 
 // Accept makes room by closing a connection that carries no request: clients
@@ -154,7 +156,7 @@
 // lets those end that carry nothing. What the kernel has accepted counts as
 // taken; it is waited for while more allows.
 func (l *limited) leave(more func() bool) {
-	for polled(rawOf(l.Listener), unix.POLLIN)&unix.POLLIN != 0 && more() {
+	for polled(l.raw, unix.POLLIN)&unix.POLLIN != 0 && more() {
 		time.Sleep(time.Millisecond)
 	}
 	l.Listener.Close()
--- a/internal/node/listener_test.go
+++ b/internal/node/listener_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -138,3 +139,53 @@
 	}
 	ask()
 }
+
+// TestLongHeadIsNoNextRequest: the server's buffer has room for one byte more of
+// a long first line, and it asks for that alone, as it does between a request and its
+// answer. It is no byte of the next request all the same.
+func TestLongHeadIsNoNextRequest(t *testing.T) {
+	const buffer = 4096 // of net/http
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := limitListener(ln, 1, newObserver(quiet))
+	srv := &http.Server{ConnState: l.note, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })}
+	go srv.Serve(l)
+	defer srv.Close()
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(enough))
+	head := "GET /" + strings.Repeat("x", buffer) + " HTTP/1.1\r\nHost: app.svc\r\n\r\n"
+	io.WriteString(conn, head[:buffer-1])
+	waitUntil(t, "the first part to be read", func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for c, idle := range l.idle {
+			return idle.Begun && !c.pending()
+		}
+		return false
+	})
+	io.WriteString(conn, head[buffer-1:])
+	if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil {
+		t.Fatal(err)
+	}
+	waitUntil(t, "the connection to be between requests", func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for _, idle := range l.idle {
+			return idle.Spoken
+		}
+		return false
+	})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, idle := range l.idle {
+		if idle.Begun {
+			t.Error("the next request is taken for begun")
+		}
+	}
+}
--- a/internal/node/mistakes.go
+++ b/internal/node/mistakes.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"net"
 	"net/http"
 
 	"indigotack/decide"
@@ -19,4 +20,7 @@
 func onSilence(error)                                               {}
 func listedAs(_ entry, state decide.ServerState) decide.ServerState { return state }
 func startedAt(e entry) int64                                       { return e.SinceMS }
+func failingAccepts(ln net.Listener) net.Listener                   { return ln }
+func failConnects(*net.Dialer)                                      {}
+func shortRead(b []byte) []byte                                     { return b }
 func instead(_ *owner, id decide.ServerID) decide.ServerID          { return id }
--- a/internal/node/mistakes_faulty.go
+++ b/internal/node/mistakes_faulty.go
@@ -5,7 +5,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -14,6 +17,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/faultnet"
 )
 
 // mistake is what this build does wrong.
@@ -89,6 +93,37 @@
 	return e.SinceMS
 }
 
+// socketFaults is which part of accepts, connects and reads fail or fall short,
+// and the seed of that, as INDIGOTACK_SOCKET_FAULTS has them ("0.02:7").
+var socketFaults = sync.OnceValues(func() (part float64, seed uint64) {
+	fmt.Sscanf(os.Getenv("INDIGOTACK_SOCKET_FAULTS"), "%g:%d", &part, &seed) // without them there are none
+	return part, seed
+})
+
+func failingAccepts(ln net.Listener) net.Listener {
+	part, seed := socketFaults()
+	if part == 0 {
+		return ln
+	}
+	return &faultnet.Listener{Listener: ln, Source: faultnet.NewRandom(seed, part, syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE,
+		syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO, syscall.EPERM, syscall.ENETUNREACH, syscall.EINTR, syscall.ETIMEDOUT)}
+}
+
+func failConnects(d *net.Dialer) {
+	if part, seed := socketFaults(); part > 0 {
+		d.ControlContext = faultnet.Connects(faultnet.NewRandom(seed+1, part, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENOBUFS,
+			syscall.ENFILE, syscall.EINTR, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ECONNREFUSED))
+	}
+}
+
+func shortRead(b []byte) []byte {
+	part, _ := socketFaults()
+	if len(b) > 1 && rand.Float64() < part {
+		return b[:1+rand.IntN(len(b)-1)]
+	}
+	return b
+}
+
 func instead(n *owner, id decide.ServerID) decide.ServerID {
 	if discoverySilent.Load() {
 		time.Sleep(20 * time.Second)
--- a/internal/node/socketfaults_test.go
+++ b/internal/node/socketfaults_test.go
@@ -28,8 +28,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			failing := &faultnet.Listener{Listener: ln}
-			failing.Script.Fail(slices.Repeat([]error{failure}, 5)...)
+			var accepts faultnet.Script
+			failing := &faultnet.Listener{Listener: ln, Source: &accepts}
+			accepts.Fail(slices.Repeat([]error{failure}, 5)...)
 			n := New(testConfig(refusing(t)), quiet)
 			n.front.life.SetReady(true)
 			ctx, stop := context.WithCancel(context.Background())
