Soak a platform's fleet with overlapping faults, and play silent watches

Cause: rehearsals played sidecars alone, whose clients left a node that was told to end, and knew neither a local agent nor faults of calls.

--- a/internal/rig/history.go
+++ b/internal/rig/history.go
@@ -33,6 +33,7 @@
 	Down        = "down"        // a process has ended: Node or Server, Text (how)
 	FaultOn     = "fault"       // N (its number), Text
 	FaultOff    = "lifted"      // N
+	TimeLeft    = "left"        // a server was told how long an attempt's client still waits: ID, Server, N (seconds)
 	Logged      = "logged"      // a node's log line of weight: Node, Text
 	Usage       = "usage"       // Node, N (descriptors), Most (resident MB)
 	Late        = "late"        // a process of the rig's own woke so late: N (seconds), Server if it was a server's
@@ -41,6 +42,9 @@
 	Phase       = "phase"       // Text: load, quiet, end
 )
 
+// killedAtLast is the text of an order to end that comes when a node should have ended by itself.
+const killedAtLast = "killed at last"
+
 // Event is one line of a history.
 type Event struct {
 	At     int64   `json:"t"` // nanoseconds
--- /dev/null
+++ b/internal/rig/platform.go
@@ -0,0 +1,80 @@
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"indigotack/decide"
+	"indigotack/internal/wire"
+)
+
+// What a platform's node is told beside what the plan says.
+const (
+	platformConfig  = "config.json"
+	clockFile       = "clock"
+	platformSockets = 256
+	connectTimeout  = 300 * time.Millisecond
+	maxAttempts     = 4
+	killCap         = 3 * time.Second        // of the longest deadline, that a platform waits for
+	killSlack       = 700 * time.Millisecond // that it waits longer
+
+	// socketsVariable tells a program that was built for it which part of its
+	// accepts and connects fail, and the seed of that.
+	socketsVariable = "INDIGOTACK_SOCKET_FAULTS"
+)
+
+// settings are a platform's for a node.
+func (p *Plan) settings(i int) decide.Settings {
+	v := p.Servers
+	s := decide.Settings{Nodes: p.Nodes, Self: i, Zone: p.zone(nodeName(i)), Zones: p.Zones, Kinds: []string{kind},
+		MaxAttempts: maxAttempts, MayCancel: true, HoldOffs: true, MaxHoldOff: 2 * time.Second, ConnectTimeout: connectTimeout,
+		ConnIdle: p.Idle, StreamsPerConn: 1, MaxOpen: 1000, DrainGrace: v.DrainGrace, ColdFrom: v.ColdFrom, ColdTime: v.ColdTime,
+		OverloadFactor: v.OverloadFactor, OverloadTime: v.OverloadTime, AnswerSlack: 20 * time.Millisecond,
+		ReportVia: decide.ReportAnswers, ReportFields: []string{"active", "waiting"}}
+	for _, c := range p.Classes {
+		s.Classes = append(s.Classes, decide.Class{Name: c.Name, Worth: c.Worth, Aim: c.Aim, Deadline: c.Deadline, Effect: c.Effect,
+			KeyScope: decide.ScopeZone, DedupWindow: c.Dedup})
+	}
+	return s
+}
+
+// platformFile writes a node's configuration as a platform gives it.
+func (n *node) platformFile() error {
+	settings, err := wire.EncodeSettings(n.of.plan.settings(n.i))
+	if err != nil {
+		return err
+	}
+	k := n.of.network.block
+	text, err := json.Marshal(map[string]any{"name": n.name, "listen": k.nodeAt(n.i), "discovery": k.discoveryAt(n.i),
+		"seed": fmt.Sprintf("%x", n.of.plan.Seed*1000+uint64(n.i)+1), "limits": map[string]int{"memory_mb": 192, "sockets": platformSockets},
+		"settings": json.RawMessage(settings)})
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(n.dir, platformConfig), text, 0o600)
+}
+
+// stepClock moves a node's wall clock while it runs.
+func (n *node) stepClock(offset time.Duration) {
+	// Written beside and renamed, as the node may read it at any moment.
+	path := filepath.Join(n.dir, clockFile)
+	err := os.WriteFile(path+".new", []byte(offset.String()), 0o600)
+	if err == nil {
+		err = os.Rename(path+".new", path)
+	}
+	if err != nil {
+		n.note(Logged, "stepping its clock: "+err.Error(), 0)
+	}
+}
+
+// earliestKill is how long after SIGTERM a platform kills a node at the earliest.
+func (p *Plan) earliestKill() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range p.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return min(longest, killCap) + killSlack
+}
--- a/internal/rig/report.go
+++ b/internal/rig/report.go
@@ -68,6 +68,14 @@
 	}
 }
 
+// Total is how many requests were asked, and how many of them answered within their aim.
+func (r *Report) Total() (asked, inAim int) {
+	for _, k := range r.Classes {
+		asked, inAim = asked+k.Asked, inAim+k.InAim
+	}
+	return asked, inAim
+}
+
 // Sound tells whether no checker found anything.
 func (r *Report) Sound() bool { return len(r.Violations) == 0 }
 
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -186,6 +186,14 @@
 	}
 	clients := &standin.Clients{Rate: p.Rate, Seed: p.Seed, Patience: max(p.Patience, time.Millisecond), Classes: p.clientClasses(),
 		Pick: func(rng *rand.Rand) (string, bool) { return f.front.pick(rng.Float64()) }, Told: f.clientEvent}
+	if p.Open > 0 {
+		clients.PickOpen = func(rng *rand.Rand) (string, bool) {
+			if rng.Float64() >= p.Open {
+				return "", false
+			}
+			return f.front.pickEnding(rng.Float64())
+		}
+	}
 	end := make(chan struct{})
 	var watchers sync.WaitGroup
 	defer watchers.Wait()
@@ -271,6 +279,7 @@
 		if c.Effect != decide.Safe {
 			one.Method, one.Body, one.Keyed = http.MethodPost, 400, c.Effect == decide.Keyed
 		}
+		one.Platform = p.Platform
 		all = append(all, one)
 	}
 	return all
--- a/internal/rig/server.go
+++ b/internal/rig/server.go
@@ -151,6 +151,11 @@
 	return int(n)
 }
 
+// Left notes how long the server was told that an attempt's client still waits.
+func (w *witness) Left(id string, left time.Duration) {
+	w.note(Event{What: TimeLeft, ID: id, N: left.Seconds()})
+}
+
 func (w *witness) Ran(id, zone string, cell int, _ time.Time) { w.note(Event{What: Ran, ID: id}) }
 
 func (w *witness) End(id string, number int, _ time.Time) {
--- a/internal/rig/timetable.go
+++ b/internal/rig/timetable.go
@@ -37,6 +37,8 @@
 		}
 	case FaultTorn:
 		what = "discovery's lists are torn"
+	case FaultSilent:
+		what = "discovery's open watches fall silent"
 	default:
 		what = f.What + " " + strings.Join(s.Targets, " ")
 		switch f.What {
@@ -44,8 +46,10 @@
 			what += fmt.Sprintf(" x%v", f.Factor)
 		case FaultFail:
 			what += fmt.Sprintf(" %v", f.Part)
-		case FaultClock:
+		case FaultClock, FaultStep:
 			what += fmt.Sprintf(" %v", f.Offset)
+		case FaultCrowd:
+			what += fmt.Sprintf(" %d", f.Number)
 		}
 	}
 	if s.Over {
@@ -74,7 +78,7 @@
 			end = p.Length
 		}
 		switch f.What {
-		case FaultLink, FaultPartition, FaultTorn:
+		case FaultLink, FaultPartition, FaultTorn, FaultSilent:
 			if f.Flap == 0 {
 				add(f, f.At, end, nil)
 				continue
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -32,6 +32,12 @@
 	Deadline time.Duration
 }
 
+// DeadlineWitness is a Witness that also hears how long an attempt's client
+// still waits, as the server was told.
+type DeadlineWitness interface {
+	Left(id string, left time.Duration)
+}
+
 // Witness hears what a server sees.
 type Witness interface {
 	Begin(id, from string, now time.Time) (number int) // an attempt's last byte has come, from that address; the number is for End
--- a/internal/standin/registry.go
+++ b/internal/standin/registry.go
@@ -42,6 +42,7 @@
 	changes []change // the last of them, oldest first
 	news    chan struct{}
 	torn    bool
+	silence chan struct{} // closed when the watches that are open fall silent
 }
 
 type change struct {
@@ -61,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Registry{ln: ln, index: 1, entries: map[string]Entry{}, news: make(chan struct{})}
+	r := &Registry{ln: ln, index: 1, entries: map[string]Entry{}, news: make(chan struct{}), silence: make(chan struct{})}
 	r.srv = r.server(func(e Entry) Entry { return e }, nil)
 	go r.srv.Serve(ln)
 	return r, nil
@@ -132,6 +133,14 @@
 	r.torn = on
 }
 
+// Silence has the watches that are open now never answered. Others are.
+func (r *Registry) Silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.silence)
+	r.silence = make(chan struct{})
+}
+
 // Address is where it listens.
 func (r *Registry) Address() string { return r.ln.Addr().String() }
 
@@ -191,6 +200,9 @@
 		http.Error(w, "from and hold_ms are numbers", http.StatusBadRequest)
 		return
 	}
+	r.mu.Lock()
+	silence := r.silence
+	r.mu.Unlock()
 	a, news, ok := r.since(from, !q.Has("from"))
 	until := time.NewTimer(min(time.Duration(hold)*time.Millisecond, maxHold))
 	defer until.Stop()
@@ -199,6 +211,9 @@
 		case <-news:
 		case <-until.C:
 			wait = false
+		case <-silence:
+			<-req.Context().Done()
+			return
 		case <-req.Context().Done():
 			return
 		}
