Go on with reads and writes that fail for a want of this machine

Cause: a write of an answer, or of a request, that fails with ENOBUFS or ENOMEM lost the request with the connection, though nothing was wrong with either side. Change: neterr.Retry and WriteAll go on after errors of this machine, 200 ms on clients' connections, 50 ms on servers', well under what a request may be late.

--- a/internal/neterr/neterr.go
+++ b/internal/neterr/neterr.go
@@ -5,7 +5,9 @@
 
 import (
 	"errors"
+	"io"
 	"syscall"
+	"time"
 )
 
 // Origin is what a failed call says something about.
@@ -87,3 +89,33 @@
 func OutOfDescriptors(err error) bool {
 	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
 }
+
+// Waits between tries of a call that failed for a want of this machine.
+const (
+	leastWait = time.Millisecond
+	mostWait  = 16 * time.Millisecond
+)
+
+// Retry calls f until it fails no more for a want of this machine, which passes,
+// or has done so for limit. f is to go on where its last call ended.
+func Retry(limit time.Duration, f func() error) error {
+	began := time.Now()
+	for wait := leastWait; ; wait = min(2*wait, mostWait) {
+		err := f()
+		if OriginOf(err) != Local || time.Since(began)+wait > limit {
+			return err
+		}
+		time.Sleep(wait)
+	}
+}
+
+// WriteAll writes all of b, going on after errors of this machine for as long as
+// limit allows, and returns how many bytes were written.
+func WriteAll(w io.Writer, b []byte, limit time.Duration) (written int, err error) {
+	err = Retry(limit, func() error {
+		n, err := w.Write(b[written:])
+		written += n
+		return err
+	})
+	return written, err
+}
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -46,6 +46,7 @@
 	leastDialWait = 2 * time.Millisecond
 	mostDialWait  = 50 * time.Millisecond
 	routeTime     = 50 * time.Millisecond // for a missing route to come back
+	sendRetryTime = 50 * time.Millisecond // a write or read is tried again that failed for such a want, well under what a request may be late
 )
 
 // pool keeps connections to servers. It never sends anything itself.
@@ -89,7 +90,11 @@
 // Read notes how the connection ended, which tells a break from an answer
 // that can't be read, or is longer than its budget.
 func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(shortRead(b))
+	var n int
+	err := neterr.Retry(sendRetryTime, func() (err error) {
+		n, err = c.Conn.Read(shortRead(b))
+		return err
+	})
 	c.broken = err
 	return n, err
 }
@@ -406,7 +411,7 @@
 	defer p.checkSend(begun, end, c)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
 	defer stop()
-	if sent, err := c.Write(msg); err != nil {
+	if sent, err := neterr.WriteAll(c, msg, sendRetryTime); err != nil {
 		c.discard()
 		if sent < len(msg) {
 			return result{code: unsent(ctx, err), err: err}
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -9,8 +9,13 @@
 	"time"
 
 	"indigotack/internal/lifecycle"
+	"indigotack/internal/neterr"
 )
 
+// answerRetryTime is for which a read of a request or a write of an answer is
+// tried again that failed for a want of this machine, such as buffers.
+const answerRetryTime = 200 * time.Millisecond
+
 // disconnectCheck is how often a client that said too much is looked after.
 const disconnectCheck = 50 * time.Millisecond
 
@@ -38,6 +43,15 @@
 	if c.raw == nil || len(b) == 0 {
 		return c.Conn.Read(b)
 	}
+	err = neterr.Retry(answerRetryTime, func() (err error) {
+		n, err = c.readRaw(b)
+		return err
+	})
+	return n, err
+}
+
+// readRaw asks the kernel for bytes, and waits for them, once.
+func (c *clientConn) readRaw(b []byte) (n int, err error) {
 	asked := len(b)
 	b = shortRead(b)
 	waited := c.raw.Read(func(fd uintptr) bool {
@@ -153,7 +167,7 @@
 
 // Write notes that an answer has begun.
 func (c *clientConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
+	n, err := neterr.WriteAll(c.Conn, b, answerRetryTime)
 	c.of.mu.Lock()
 	defer c.of.mu.Unlock()
 	if n > 0 {
