--- a/internal/node/mistakes.go
+++ b/internal/node/mistakes.go
@@ -23,4 +23,5 @@
 func failingAccepts(ln net.Listener) net.Listener                   { return ln }
 func failConnects(*net.Dialer)                                      {}
 func shortRead(b []byte) []byte                                     { return b }
+func watchTimes(t listTimes) listTimes                              { return t }
 func instead(_ *owner, id decide.ServerID) decide.ServerID          { return id }
--- a/internal/node/mistakes_faulty.go
+++ b/internal/node/mistakes_faulty.go
@@ -124,6 +124,15 @@
 	return b
 }
 
+// watchTimes: "patient-with-watches" waits for a silent watch as long as a
+// remote service may take, whatever the grace.
+func watchTimes(t listTimes) listTimes {
+	if mistake == "patient-with-watches" {
+		t.hold, t.silence = 2*time.Second, time.Second
+	}
+	return t
+}
+
 func instead(n *owner, id decide.ServerID) decide.ServerID {
 	if discoverySilent.Load() {
 		time.Sleep(20 * time.Second)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,7 +55,7 @@
 	if n.cfg.Settings.AskForList {
 		from = asked
 	}
-	times := planLists(from, grace)
+	times := watchTimes(planLists(from, grace))
 	if late := times.late(from, grace, callTime); late > 0 {
 		n.log.Warn("the grace for draining servers is too short to hear of a drain in time after discovery was silent", "grace", grace, "late", late)
 	}
--- /dev/null
+++ b/internal/rig/soak_test.go
@@ -0,0 +1,55 @@
+package rig
+
+import (
+	"path/filepath"
+	"testing"
+)
+
+// soakSeeds are few, as each takes a quarter of a minute; rehearse --soak plays
+// as many as are wanted.
+var soakSeeds = []uint64{1, 2, 3, 4}
+
+// TestSoak: overlapping faults of all kinds break no rule.
+func TestSoak(t *testing.T) {
+	for _, seed := range soakSeeds {
+		p := Soak(seed)
+		t.Run(p.Name, func(t *testing.T) {
+			r := play(t, p, Options{Program: program(t, "faulty")})
+			if !r.Sound() {
+				t.Errorf("the soak is not sound; the plan:\n%s", p.Format())
+			}
+			if asked, _ := r.Total(); asked < 1000 {
+				t.Errorf("%d requests, want a thousand and more", asked)
+			}
+		})
+	}
+}
+
+// TestSoakPlansCanBeRead: a plan that is drawn can be kept as a file, which is
+// the same plan.
+func TestSoakPlansCanBeRead(t *testing.T) {
+	for seed := range uint64(200) {
+		p := Soak(seed)
+		again, err := ParsePlan("drawn", []byte(p.Format()))
+		if err != nil {
+			t.Fatalf("seed %d: %v\n%s", seed, err, p.Format())
+		}
+		if got, want := again.Format(), p.Format(); got != want {
+			t.Fatalf("seed %d is read back as\n%s\nwant\n%s", seed, got, want)
+		}
+	}
+}
+
+// TestSilentWatches: the incident of sends to draining servers, with the program
+// of today, and with one that is patient with watches.
+func TestSilentWatches(t *testing.T) {
+	p, err := LoadPlan(filepath.Join("..", "..", "plans", "fleet", "silent-watches.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	wantSound(t, play(t, p, Options{Program: program(t, "faulty")}))
+	patient := play(t, p, Options{Program: program(t, "faulty"), Env: func(string) []string { return []string{"INDIGOTACK_MISTAKE=patient-with-watches"} }})
+	if !patient.Untimed && !patient.Broke("drains") {
+		t.Error("nodes that are patient with watches are not caught")
+	}
+}
