Hear a local agent that takes its time, and use the field's names in the event loop

Cause: calls that fell silent got 1 s at most, so that an agent that takes 1.25 s for each answer was never heard; some names in owner.go were of our own. Change: after several silent calls the next get up to three quarters of the grace, 2 s at most. Renamed: Superseded (was Moot), watchdog, event queue, expire, timeoutAnswer, answerWithout, askForList. Measured: TestSlowAgent fails with the bound of 1 s (waited in vain for 30 s) and passes; internal/node, decide and internal/wire pass.

--- a/decide/api.go
+++ b/decide/api.go
@@ -204,8 +204,8 @@
 	Reset
 	// Cancelled: called off; it may have run.
 	Cancelled
-	// Moot: never sent, and the server is not to blame: the request was over, or this node could not.
-	Moot
+	// Superseded: never sent, and the server is not to blame: the request was over, or this node could not.
+	Superseded
 	// Unusable: the server can't use the request, which is its client's doing; it may have run.
 	Unusable
 	// Unreachable: never sent, as the network between was at fault; it says
@@ -225,7 +225,7 @@
 
 // NeverRan tells whether an attempt that ended so has surely not run.
 func (c OutcomeCode) NeverRan() bool {
-	return c == Full || c == ConnectFailed || c == Moot || c == Unreachable
+	return c == Full || c == ConnectFailed || c == Superseded || c == Unreachable
 }
 
 // Events.
--- a/decide/outlier.go
+++ b/decide/outlier.go
@@ -30,7 +30,7 @@
 		if e.Elapsed.Seconds() <= m.due(s, r, muteFactor) { // its client left before an answer was due
 			s.unanswered = max(0, s.unanswered-1)
 		}
-	case Moot: // not sent, so no answer is missing
+	case Superseded: // not sent, so no answer is missing
 		s.unanswered = max(0, s.unanswered-1)
 	case Unusable:
 		s.unanswered = 0
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -387,7 +387,7 @@
 func (p *pool) attempt(ctx context.Context, id decide.ServerID, o *outbound, by time.Time) result {
 	end, ok := ctx.Deadline()
 	if !ok {
-		return result{code: decide.Moot} // an attempt without an end could hang for ever
+		return result{code: decide.Superseded} // an attempt without an end could hang for ever
 	}
 	c, err := p.get(ctx, id)
 	if err != nil {
@@ -398,7 +398,7 @@
 	msg, err := o.bytes(time.Until(end))
 	if err != nil {
 		c.release()
-		return result{code: decide.Moot, err: err}
+		return result{code: decide.Superseded, err: err}
 	}
 	// And what was decided before may not be right any more: the list may name
 	// another process, or none.
@@ -406,7 +406,7 @@
 	if denial := lifecycle.MayBegin(begun, o.attempt(c, end, by)); denial != lifecycle.Allowed || ctx.Err() != nil {
 		c.release() // nothing was sent on it
 		p.count(eventDenial, string(denial))
-		return result{code: decide.Moot, err: ctx.Err()}
+		return result{code: decide.Superseded, err: ctx.Err()}
 	}
 	defer p.checkSend(begun, end, c)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
@@ -463,13 +463,13 @@
 // end nor a want on this side kept it from being sent.
 func unsent(ctx context.Context, err error) decide.OutcomeCode {
 	if ctx.Err() != nil || errors.Is(err, errNotListed) || errors.Is(err, errTooMany) {
-		return decide.Moot
+		return decide.Superseded
 	}
 	switch origin := neterr.OriginOf(err); {
 	case origin == neterr.Path, neterr.NoRoute(err):
 		return decide.Unreachable
 	case origin == neterr.Local:
-		return decide.Moot
+		return decide.Superseded
 	}
 	return decide.ConnectFailed
 }
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -466,3 +466,22 @@
 		})
 	}
 }
+
+// TestSlowAgent: an agent that always takes its time before it says a word, up to
+// five eighths of the grace, is heard all the same.
+func TestSlowAgent(t *testing.T) {
+	for _, grace := range []time.Duration{500 * time.Millisecond, 2 * time.Second} {
+		t.Run(grace.String(), func(t *testing.T) {
+			t.Parallel()
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if sleep(r.Context(), grace*5/8) {
+					fmt.Fprint(w, `{"index":7,"snapshot":true,"endpoints":[]}`)
+				}
+			}))
+			t.Cleanup(s.Close)
+			if l := wait(t, following(t, s, planLists(agent, grace), 0), "the list"); l.Index != 7 {
+				t.Errorf("list %d, want 7", l.Index)
+			}
+		})
+	}
+}
--- a/internal/node/listtimes.go
+++ b/internal/node/listtimes.go
@@ -33,6 +33,7 @@
 	leastBackoff   = 5 * time.Millisecond
 	mostAgentHold  = 2 * time.Second
 	mostAgentTime  = time.Second
+	mostSlowTime   = 2 * time.Second // after several calls that fell silent
 )
 
 // listTimes bounds what following a list waits for.
@@ -60,7 +61,7 @@
 		t.hold = clamp(grace/4, leastAgentTime, mostAgentHold)
 		t.silence = clamp(grace/5, leastAgentTime, mostAgentTime)
 		t.again = clamp(grace*3/20, leastAgentTime, mostAgentTime)
-		t.longest = clamp(grace*3/4, t.again, mostAgentTime)
+		t.longest = clamp(grace*3/4, t.again, mostSlowTime)
 		t.fetch, t.dial, t.whole = t.silence, t.silence, 0
 		t.low = clamp(grace/80, leastBackoff, t.low)
 		t.high = clamp(grace/16, t.low, t.high)
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	inboxSize    = 1024
-	answerMargin = 10 * time.Millisecond // an answer leaves so long before its client stops waiting
-	guardDelay   = 4 * time.Millisecond  // after which the owner itself ends what the module has not ended
+	eventQueueSize = 1024
+	answerMargin   = 10 * time.Millisecond // an answer leaves so long before its client stops waiting
+	watchdogDelay  = 4 * time.Millisecond  // after which the owner itself ends what the module has not ended
 )
 
 // owner has one pool of servers: its module, its connections and the requests
@@ -25,11 +25,11 @@
 	*observer
 	start       time.Time
 	wall        time.Duration // what the wall clock read then, as Unix time
-	inbox       chan func()   // run by the loop, one at a time
+	events      chan func()   // run by the loop, one at a time
 	ended       chan struct{}
 	backends    *pool
 	listChanged func(servers int)       // called by the loop
-	ask         func(fetch, watch bool) // the module's wishes for a list; nil where lists are pushed
+	ask         func(fetch, watch bool) // how the module asks for a list; nil where lists are pushed
 
 	// The rest belongs to the loop.
 	set        decide.Settings
@@ -54,7 +54,7 @@
 	running  int
 	unsafe   bool          // a second run would do harm
 	window   time.Duration // of a keyed class: how long after the first send that may have run another one may be written; 0: any time
-	guard    *time.Timer
+	watchdog *time.Timer
 	passable answer // a server's own account of its failure, where that may be passed on
 	opened   time.Time
 }
@@ -88,7 +88,7 @@
 }
 
 func newOwner(s decide.Settings, seed int64, sockets int, o *observer) *owner {
-	return &owner{observer: o, start: time.Now(), wall: time.Duration(clock.Wall().UnixNano()), inbox: make(chan func(), inboxSize), ended: make(chan struct{}),
+	return &owner{observer: o, start: time.Now(), wall: time.Duration(clock.Wall().UnixNano()), events: make(chan func(), eventQueueSize), ended: make(chan struct{}),
 		backends: newPool(s, sockets, o), listChanged: func(int) {}, set: s, module: decide.New(s, seed), ids: newIDs(),
 		listed: map[string]decide.ServerID{}, entries: map[string]entry{}, startTimes: newStartTimes(), requests: map[decide.RequestID]*request{}}
 }
@@ -115,7 +115,7 @@
 	defer close(n.ended)
 	for {
 		select {
-		case f := <-n.inbox:
+		case f := <-n.events:
 			f()
 		case <-ctx.Done():
 			n.checkEnd()
@@ -136,7 +136,7 @@
 // post has f run by the loop; once that has ended it does nothing.
 func (n *owner) post(f func()) {
 	select {
-	case n.inbox <- f:
+	case n.events <- f:
 	case <-n.ended:
 	}
 }
@@ -167,9 +167,9 @@
 	case decide.Send:
 		n.send(a)
 	case decide.Refuse:
-		n.giveUp(a.ID, answer{status: http.StatusServiceUnavailable, holdOff: a.HoldOff}, "refused_"+a.Cause.String())
+		n.answerWithout(a.ID, answer{status: http.StatusServiceUnavailable, holdOff: a.HoldOff}, "refused_"+a.Cause.String())
 	case decide.Fail:
-		n.giveUp(a.ID, answer{status: http.StatusBadGateway}, "failed_"+a.Cause.String())
+		n.answerWithout(a.ID, answer{status: http.StatusBadGateway}, "failed_"+a.Cause.String())
 	case decide.CancelAttempt:
 		if r := n.requests[a.ID]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.attempts) {
 			r.attempts[a.Attempt].cancel()
@@ -179,9 +179,9 @@
 	case decide.CloseIdle:
 		n.backends.closeIdle(a.Server)
 	case decide.Subscribe:
-		n.wish(false, a.On)
+		n.askForList(false, a.On)
 	case decide.FetchList:
-		n.wish(true, n.set.AskForList)
+		n.askForList(true, n.set.AskForList)
 	case decide.Log:
 		n.log.Info("module: " + a.Line)
 	default:
@@ -189,7 +189,7 @@
 	}
 }
 
-func (n *owner) wish(fetch, watch bool) {
+func (n *owner) askForList(fetch, watch bool) {
 	if n.ask != nil {
 		n.ask(fetch, watch)
 	}
@@ -221,9 +221,9 @@
 			r.window = class.DedupWindow
 		}
 	}
-	// The module ends a request at its deadline. The guard is for one that it
+	// The module ends a request at its deadline. The watchdog is for one that it
 	// does not end, as an answer in time is owed whatever it does.
-	r.guard = time.AfterFunc(e.Patience+guardDelay, func() { n.post(func() { n.overdue(r) }) })
+	r.watchdog = time.AfterFunc(e.Patience+watchdogDelay, func() { n.post(func() { n.overdue(r) }) })
 	n.handle(e)
 }
 
@@ -239,16 +239,16 @@
 	if r.done {
 		return
 	}
-	n.finish(r.id, spent(r), "overdue")
+	n.finish(r.id, timeoutAnswer(r), "overdue")
 	for _, a := range r.attempts {
 		a.cancel() // a module that lost the request does not call them off
 	}
 	n.handle(decide.RequestAbandoned{ID: r.id})
 }
 
-// spent is the answer to a request that is out of time: it is refused only
+// timeoutAnswer is the answer to a request that is out of time: it is refused only
 // where it was never sent, as an attempt may have run.
-func spent(r *request) answer {
+func timeoutAnswer(r *request) answer {
 	if len(r.attempts) > 0 {
 		return answer{status: http.StatusGatewayTimeout}
 	}
@@ -279,9 +279,9 @@
 	}
 }
 
-// giveUp ends a request, with the words of the server that was tried last if
-// they may be passed on: they tell the client more, and promise nothing.
-func (n *owner) giveUp(id decide.RequestID, a answer, reason string) {
+// answerWithout ends a request for which no server made an answer, with that of
+// the server that was tried last if it may be passed on: they tell the client more, and promise nothing.
+func (n *owner) answerWithout(id decide.RequestID, a answer, reason string) {
 	if r := n.requests[id]; r != nil && r.passable.served {
 		a = r.passable
 	}
@@ -291,7 +291,7 @@
 func (n *owner) close(r *request) {
 	r.done = true
 	r.out.over.Store(true)
-	r.guard.Stop()
+	r.watchdog.Stop()
 	n.forget(r)
 }
 
@@ -310,7 +310,7 @@
 	now, number := time.Now(), len(r.attempts)
 	denial := lifecycle.MayBegin(now, r.attempt(n.set.MayOverlap))
 	if denial == lifecycle.ClientGone || denial == lifecycle.DeadlinePassed {
-		n.outlived(r)
+		n.expire(r)
 	}
 	end := r.deadline
 	if a.Timeout != 0 && now.Add(a.Timeout).Before(end) {
@@ -341,8 +341,8 @@
 // deny has the module know that an attempt was not sent, as it may not be.
 func (n *owner) deny(r *request, number int, server decide.ServerID, denial lifecycle.Denial) {
 	n.note(slog.LevelInfo, "attempt denied", eventDenial, string(denial), "id", r.id, "attempt", number, "server", n.ids.byID[server])
-	r.attempts[number].never, r.attempts[number].code = true, decide.Moot
-	n.queue = append(n.queue, decide.AttemptEnded{ID: r.id, Attempt: number, Server: server, Over: r.done, Code: decide.Moot})
+	r.attempts[number].never, r.attempts[number].code = true, decide.Superseded
+	n.queue = append(n.queue, decide.AttemptEnded{ID: r.id, Attempt: number, Server: server, Over: r.done, Code: decide.Superseded})
 }
 
 // attempt is what is known of a further attempt of the request.
@@ -369,11 +369,11 @@
 	return r.attempts[first].at.Add(r.window)
 }
 
-// outlived ends a request whose time is over, or whose client has gone, before
+// expire ends a request whose time is over, or whose client has gone, before
 // it is sent. The owner may hear of either only now: a process that has stood
 // still finds its timers, its clients' ends and its own decisions in any order.
-func (n *owner) outlived(r *request) {
-	n.finish(r.id, spent(r), "outlived")
+func (n *owner) expire(r *request) {
+	n.finish(r.id, timeoutAnswer(r), "expired_or_disconnected")
 	n.queue = append(n.queue, decide.RequestAbandoned{ID: r.id})
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -19,7 +19,7 @@
 	codeCancelled     = 1
 	codeTimeout       = 4
 	codeFull          = 8
-	codeMoot          = 9
+	codeSuperseded    = 9
 	codeReset         = 10
 	codeError         = 13
 	codeConnectFailed = 14
@@ -34,7 +34,7 @@
 
 var outcomes = map[int]decide.OutcomeCode{
 	codeOK: decide.OK, codeCancelled: decide.Cancelled, codeTimeout: decide.TimedOut, codeFull: decide.Full,
-	codeMoot: decide.Moot, codeReset: decide.Reset, codeError: decide.ServerError,
+	codeSuperseded: decide.Superseded, codeReset: decide.Reset, codeError: decide.ServerError,
 	codeConnectFailed: decide.ConnectFailed,
 }
 
