Have clients leave in the middle of their requests in soaks

Cause: an attempt that begins over 0.1 s after its client closed is a lost request, and no client of a soak closed before its deadline. Change: load.leave, the part of requests whose client closes at some moment of its deadline; 5% in soaks.

--- a/internal/rig/check.go
+++ b/internal/rig/check.go
@@ -341,6 +341,7 @@
 			if len(r.begins) > 0 && !h.excused(r) {
 				f.add(r.node, r.answered, "%s (%s) was sent to %s, and then %s closed its connection", r.id, r.class.Name, r.begins[0].server, r.node)
 			}
+		case r.how == standin.Left.String(): // no answer is owed
 		case r.how == standin.Garbled.String():
 			f.add(r.node, r.answered, "%s (%s at %s) got an answer that no server made for it", r.id, r.class.Name, r.node)
 		case r.how == standin.Lost.String() || r.how == standin.Unreached.String():
@@ -442,7 +443,7 @@
 	}
 	f := findings{h: h, name: "effects"}
 	for _, r := range h.order {
-		if r.answered != 0 && r.class != nil {
+		if r.answered != 0 && r.class != nil && r.how != standin.Left.String() {
 			how := standin.Served // or anything else that promises nothing
 			if r.how == standin.Refused.String() {
 				how = standin.Refused
--- a/internal/rig/plan.go
+++ b/internal/rig/plan.go
@@ -61,6 +61,7 @@
 	Cool     time.Duration // then nothing comes for so long, for what was in hand to end
 	Patience time.Duration // how long beyond its time a client waits for an answer before it closes
 	Notice   time.Duration // after which clients are no longer sent to a node that has died
+	Leave    float64       // part of the requests whose client closes its connection before its deadline
 	Open     float64       // part of the requests that go on connections still open to nodes that were told to end, while there are any
 }
 
@@ -252,6 +253,7 @@
 	p.Patience = s.Duration("patience", p.Patience, 0, time.Minute)
 	p.Notice = s.Duration("notice", p.Notice, 0, time.Minute)
 	p.Open = s.Float("open", p.Open, 0, 0.9)
+	p.Leave = s.Float("leave", p.Leave, 0, 0.9)
 }
 
 func (p *Plan) readServers(s *conf.Section) {
@@ -487,7 +489,7 @@
 	if len(p.Programs) > 0 {
 		line("programs = %s", list(p.Programs))
 	}
-	line("\n[load]\nrate = %v\nlength = %q\ncool = %q\npatience = %q\nnotice = %q\nopen = %v", p.Rate, p.Length, p.Cool, p.Patience, p.Notice, p.Open)
+	line("\n[load]\nrate = %v\nlength = %q\ncool = %q\npatience = %q\nnotice = %q\nopen = %v\nleave = %v", p.Rate, p.Length, p.Cool, p.Patience, p.Notice, p.Open, p.Leave)
 	v := p.Servers
 	line("\n[servers]\ncount = %d\ncores = %d\nspeed = %v\nqueue = %d\ncold_from = %v\ncold_time = %q", v.Count, v.Cores, v.Speed, v.Queue, v.ColdFrom, v.ColdTime)
 	line("overload_factor = %v\noverload_time = %q\ndrain_grace = %q\nlist_delay = %q", v.OverloadFactor, v.OverloadTime, v.DrainGrace, v.ListDelay)
--- a/internal/rig/report.go
+++ b/internal/rig/report.go
@@ -44,7 +44,7 @@
 }
 
 // Tally counts requests by what became of them.
-type Tally struct{ Asked, InAim, Late, Refused, Failed, Lost, Crossed, Wrong int }
+type Tally struct{ Asked, InAim, Late, Refused, Failed, Lost, Crossed, Wrong, Left int }
 
 func (t *Tally) count(r *requestLog) {
 	t.Asked++
@@ -61,6 +61,8 @@
 		t.Failed++
 	case standin.Crossed.String():
 		t.Crossed++
+	case standin.Left.String():
+		t.Left++
 	case standin.Garbled.String():
 		t.Wrong++
 	default:
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -184,7 +184,7 @@
 			return fmt.Errorf("copying the state of %s: %w", n.name, err)
 		}
 	}
-	clients := &standin.Clients{Rate: p.Rate, Seed: p.Seed, Patience: max(p.Patience, time.Millisecond), Classes: p.clientClasses(),
+	clients := &standin.Clients{Rate: p.Rate, Seed: p.Seed, Patience: max(p.Patience, time.Millisecond), Leave: p.Leave, Classes: p.clientClasses(),
 		Pick: func(rng *rand.Rand) (string, bool) { return f.front.pick(rng.Float64()) }, Told: f.clientEvent}
 	if p.Open > 0 {
 		clients.PickOpen = func(rng *rand.Rand) (string, bool) {
--- a/internal/rig/soak.go
+++ b/internal/rig/soak.go
@@ -36,7 +36,7 @@
 	p.Servers.ListDelay = tenths(rng, 2, 12)
 	p.Length, p.Cool = soakLoad, 4*time.Second
 	p.Rate = min(300, float64(int((0.2+0.3*rng.Float64())*p.capacity())))
-	p.Patience, p.Open = tenths(rng, 1, 6), 0.3
+	p.Patience, p.Open, p.Leave = tenths(rng, 1, 6), 0.3, 0.05
 	if rng.IntN(2) == 0 {
 		p.Sockets = []float64{0.005, 0.02, 0.05}[rng.IntN(3)]
 	}
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -61,6 +61,7 @@
 	Classes  []Class
 	Rate     float64 // requests a second
 	Seed     uint64
+	Leave    float64           // part of the requests whose client closes its connection at some moment of its deadline
 	Patience time.Duration     // how long beyond the deadline an answer is waited for; 0: two seconds
 	Ledger   *Ledger           // may be nil
 	Told     func(ClientEvent) // hears of what clients do and see; may be nil, and must not block for long
@@ -169,7 +170,11 @@
 		c.note(k, func(r *Result) { r.Wrong++ })
 		return
 	}
-	how, advised := c.ask(lines, k, id, to, open, false)
+	leaveAt := time.Duration(0)
+	if part(id+"leaves") < c.Leave {
+		leaveAt = time.Duration(part(id+"when") * float64(k.Deadline))
+	}
+	how, advised := c.ask(lines, k, id, to, open, false, leaveAt)
 	if how == Crossed {
 		if c.Pick != nil { // where it takes new connections
 			c.mu.Lock()
@@ -178,7 +183,7 @@
 			}
 			c.mu.Unlock()
 		}
-		how, advised = c.ask(lines, k, id+"-again", to, nil, true)
+		how, advised = c.ask(lines, k, id+"-again", to, nil, true, leaveAt)
 	}
 	waited := time.Since(intended)
 	c.note(k, func(r *Result) {
@@ -222,8 +227,9 @@
 	lineIdle = 3 * time.Second // a connection that has been idle for longer is not used again
 )
 
-// ask sends a request once and waits for its answer.
-func (c *Clients) ask(lines *lines, k *Class, id, to string, open *line, anew bool) (how Answer, advised bool) {
+// ask sends a request once and waits for its answer, until it leaves after
+// leaveAt; 0: it does not.
+func (c *Clients) ask(lines *lines, k *Class, id, to string, open *line, anew bool, leaveAt time.Duration) (how Answer, advised bool) {
 	event := ClientEvent{ID: id, Class: k.Name, To: to}
 	tell := func(what int) {
 		if event.What = what; c.Told != nil {
@@ -244,7 +250,14 @@
 		how = Unreached
 	} else {
 		event.From = l.LocalAddr().String()
-		how, advised = l.ask(k, id, end)
+		until := end
+		if leaveAt > 0 {
+			until = sent.Add(leaveAt)
+		}
+		if how, advised = l.ask(k, id, until); how == Lost && leaveAt > 0 && !time.Now().Before(until) {
+			l.Close() // what is noted as the time of its leaving must not be before it
+			how = Left
+		}
 	}
 	event.How, event.Took = how, time.Since(sent)
 	tell(ClientAnswered)
@@ -252,6 +265,7 @@
 	case c.Ledger == nil:
 	case how == Crossed:
 		c.Ledger.Withdrawn(id)
+	case how == Left: // nothing is owed to it
 	default:
 		c.Ledger.Answered(id, how, event.Took)
 	}
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -169,6 +169,7 @@
 	Garbled   // an answer that no server made for it
 	Unreached // the connection never came up
 	Crossed   // the connection was closed as the request set out on it; it is sent anew, as another one
+	Left      // its client closed the connection before an answer came
 )
 
 // Withdrawn notes that a request crossed with the end of its connection, which
@@ -235,5 +236,5 @@
 }
 
 func (a Answer) String() string {
-	return [...]string{"served", "refused", "failed", "lost", "garbled", "unreached", "crossed"}[a]
+	return [...]string{"served", "refused", "failed", "lost", "garbled", "unreached", "crossed", "left"}[a]
 }
