--- a/internal/node/clientconn_test.go
+++ b/internal/node/clientconn_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"syscall"
 	"testing"
-	"time"
 )
 
 // shortOfBuffers is a connection whose writes fail a few times, the first one
@@ -41,20 +40,7 @@
 // TestAnswerIsWrittenWhole: the machine has no buffers for a moment while an
 // answer is written. It comes whole all the same.
 func TestAnswerIsWrittenWhole(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	l := limitListener(shortListener{ln}, 10, newObserver(quiet))
-	srv := &http.Server{ConnState: l.note, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("the page")) })}
-	go srv.Serve(l)
-	defer srv.Close()
-	conn, err := net.Dial("tcp", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(enough))
+	_, conn := serveLimited(t, shortListener{onLoopback(t)}, "the page")
 	conn.Write([]byte("GET / HTTP/1.1\r\nHost: app.svc\r\n\r\n"))
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
--- /dev/null
+++ b/internal/node/list.go
@@ -0,0 +1,182 @@
+package node
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"log/slog"
+	"net"
+
+	"indigotack/decide"
+)
+
+// Bounds of a list.
+const (
+	maxList    = 16 << 20 // bytes of a list; ten thousand servers take an eighth
+	maxEntries = 50_000
+	maxRefused = 3 // entries that can't be used and are told of one by one
+)
+
+// list is a list of servers in discovery's form. A malformed entry must not
+// cost the node the others, so it is left out and counted.
+type list struct {
+	Index    uint64
+	Snapshot bool
+	Entries  []entry
+	refused  int
+	why      []error // of the first ones refused
+}
+
+// UnmarshalJSON is decode for a text at hand.
+func (l *list) UnmarshalJSON(text []byte) error {
+	return l.decode(json.NewDecoder(bytes.NewReader(text)))
+}
+
+// decode reads a list entry by entry, so that a large one is never held as text.
+func (l *list) decode(d *json.Decoder) error {
+	*l = list{}
+	if t, err := d.Token(); err != nil || t != json.Delim('{') {
+		if err == nil && t == nil { // null: no list at all
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		return errors.New("want an object")
+	}
+	for d.More() {
+		key, err := d.Token()
+		if err != nil {
+			return err
+		}
+		switch key {
+		case "index":
+			err = d.Decode(&l.Index)
+		case "snapshot":
+			err = d.Decode(&l.Snapshot)
+		case "endpoints":
+			err = l.entries(d)
+		default:
+			var skipped json.RawMessage
+			err = d.Decode(&skipped)
+		}
+		if err != nil {
+			return fmt.Errorf("%v: %w", key, err)
+		}
+	}
+	_, err := d.Token()
+	return err
+}
+
+func (l *list) entries(d *json.Decoder) error {
+	t, err := d.Token()
+	if err != nil || t == nil {
+		return err
+	}
+	if t != json.Delim('[') {
+		return errors.New("want an array")
+	}
+	for d.More() {
+		if len(l.Entries)+l.refused >= maxEntries {
+			return fmt.Errorf("over %d entries", maxEntries)
+		}
+		var raw json.RawMessage
+		if err := d.Decode(&raw); err != nil {
+			return err
+		}
+		var e entry
+		err := json.Unmarshal(raw, &e)
+		if err == nil {
+			err = e.check()
+		}
+		if err != nil {
+			if l.refused++; len(l.why) < maxRefused {
+				l.why = append(l.why, fmt.Errorf("%s: %w", raw[:min(len(raw), 200)], err))
+			}
+			continue
+		}
+		l.Entries = append(l.Entries, e)
+	}
+	_, err = d.Token()
+	return err
+}
+
+// note tells of entries that could not be used.
+func (l *list) note(log *slog.Logger) {
+	if l.refused > 0 {
+		log.Warn("list entries skipped", "count", l.refused, "first", errors.Join(l.why...))
+	}
+}
+
+// entry is one server of a list.
+type entry struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Zone    string  `json:"zone"`
+	Kind    string  `json:"type"`
+	Cell    int     `json:"group"`
+	Status  string  `json:"status"`
+	Weight  float64 `json:"weight"`
+	SinceMS int64   `json:"since_ms"`
+}
+
+var states = map[string]decide.ServerState{"ready": decide.Ready, "draining": decide.Draining, "gone": decide.Gone}
+
+func (e entry) check() error {
+	if e.Name == "" {
+		return errors.New("no name")
+	}
+	state, ok := states[e.Status]
+	if !ok {
+		return fmt.Errorf("unknown status %q", e.Status)
+	}
+	if _, _, err := net.SplitHostPort(e.Address); err != nil && state != decide.Gone {
+		return fmt.Errorf("address: %w", err)
+	}
+	if e.SinceMS < 0 || e.Weight < 0 {
+		return errors.New("negative since_ms or weight")
+	}
+	return nil
+}
+
+// ids gives servers their numbers: a hash of the name, so that every node and
+// every restart agrees on them.
+type ids struct {
+	byName map[string]decide.ServerID
+	byID   map[decide.ServerID]string
+	hash   func(string) uint32
+}
+
+func newIDs() *ids {
+	return &ids{byName: map[string]decide.ServerID{}, byID: map[decide.ServerID]string{}, hash: func(s string) uint32 {
+		h := fnv.New32a()
+		io.WriteString(h, s) // never fails
+		return h.Sum32()
+	}}
+}
+
+// of finds the number of a name. Of two names with one hash the later listed
+// is hashed again: two servers under one number would share their load and
+// their drains.
+func (d *ids) of(name string) decide.ServerID {
+	if id, ok := d.byName[name]; ok {
+		return id
+	}
+	id := decide.ServerID(d.hash(name))
+	for salted := name; ; id = decide.ServerID(d.hash(salted)) {
+		if _, taken := d.byID[id]; !taken {
+			break
+		}
+		salted += "\x00"
+	}
+	d.byName[name], d.byID[id] = id, name
+	return id
+}
+
+func (d *ids) forget(name string) {
+	delete(d.byID, d.byName[name])
+	delete(d.byName, name)
+}
--- a/internal/node/listener_test.go
+++ b/internal/node/listener_test.go
@@ -88,24 +88,37 @@
 	}
 }
 
-// TestUnreadIsNoReasonToClose: a connection that has rested for long gives way
-// to a new one, but not when a request has come on it in that instant, which
-// the node has not read.
-func TestUnreadIsNoReasonToClose(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+// serveLimited serves clients on a limited listener, and dials it.
+func serveLimited(t *testing.T, ln net.Listener, answer string) (*limited, net.Conn) {
+	t.Helper()
 	l := limitListener(ln, 1, newObserver(quiet))
-	srv := &http.Server{ConnState: l.note, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })}
+	srv := &http.Server{ConnState: l.note, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, answer) })}
 	go srv.Serve(l)
-	defer srv.Close()
+	t.Cleanup(func() { srv.Close() })
 	conn, err := net.Dial("tcp", ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
+	t.Cleanup(func() { conn.Close() })
 	conn.SetDeadline(time.Now().Add(enough))
+	return l, conn
+}
+
+// onLoopback is a listener at a port of its own.
+func onLoopback(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+// TestUnreadIsNoReasonToClose: a connection that has rested for long gives way
+// to a new one, but not when a request has come on it in that instant, which
+// the node has not read.
+func TestUnreadIsNoReasonToClose(t *testing.T) {
+	l, conn := serveLimited(t, onLoopback(t), "ok")
 	read := bufio.NewReader(conn)
 	const text = "GET / HTTP/1.1\r\nHost: app.svc\r\n\r\n"
 	ask := func() {
@@ -145,20 +158,7 @@
 // answer. It is no byte of the next request all the same.
 func TestLongHeadIsNoNextRequest(t *testing.T) {
 	const buffer = 4096 // of net/http
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	l := limitListener(ln, 1, newObserver(quiet))
-	srv := &http.Server{ConnState: l.note, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })}
-	go srv.Serve(l)
-	defer srv.Close()
-	conn, err := net.Dial("tcp", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(enough))
+	l, conn := serveLimited(t, onLoopback(t), "ok")
 	head := "GET /" + strings.Repeat("x", buffer) + " HTTP/1.1\r\nHost: app.svc\r\n\r\n"
 	io.WriteString(conn, head[:buffer-1])
 	waitUntil(t, "the first part to be read", func() bool {
--- a/internal/node/listlog.go
+++ b/internal/node/listlog.go
@@ -63,22 +63,27 @@
 	return c
 }
 
-var listKinds = map[decide.ListKind]string{decide.ListChanges: "changes", decide.ListFull: "full", decide.ListCached: "cached"}
-
-// noteList logs what a list changes, before it is taken up, and counts lists.
-func (n *owner) noteList(entries []entry, version uint64, kind decide.ListKind) {
-	n.count(eventList, listKinds[kind])
-	change := compareLists(n.entries, entries, kind != decide.ListChanges)
-	if kind != decide.ListChanges {
-		clear(n.entries)
+// applyList brings what is known up to a list, which is whole or changes.
+func applyList(known map[string]entry, entries []entry, whole bool) {
+	if whole {
+		clear(known)
 	}
 	for _, e := range entries {
 		if states[e.Status] == decide.Gone {
-			delete(n.entries, e.Name)
+			delete(known, e.Name)
 		} else {
-			n.entries[e.Name] = e
+			known[e.Name] = e
 		}
 	}
+}
+
+var listKinds = map[decide.ListKind]string{decide.ListChanges: "changes", decide.ListFull: "full", decide.ListCached: "cached"}
+
+// noteList logs what a list changes, before it is taken up, and counts lists.
+func (n *owner) noteList(entries []entry, version uint64, kind decide.ListKind) {
+	n.count(eventList, listKinds[kind])
+	change := compareLists(n.entries, entries, kind != decide.ListChanges)
+	applyList(n.entries, entries, kind != decide.ListChanges)
 	if !change.empty() {
 		args := append([]any{"version", version, "servers", len(n.entries)}, change.args()...)
 		n.note(slog.LevelInfo, "servers changed", eventList, "changed", args...)
--- a/internal/node/sidecar.go
+++ b/internal/node/sidecar.go
@@ -252,16 +252,7 @@
 // take passes a list, or changes of it, on to the pools. The caller holds listMu and mu.
 func (s *Sidecar) take(entries []entry, version uint64, kind decide.ListKind) {
 	s.version = version
-	if kind != decide.ListChanges {
-		clear(s.entries)
-	}
-	for _, e := range entries {
-		if states[e.Status] == decide.Gone {
-			delete(s.entries, e.Name)
-		} else {
-			s.entries[e.Name] = e
-		}
-	}
+	applyList(s.entries, entries, kind != decide.ListChanges)
 	for _, p := range s.pools {
 		if kind != decide.ListChanges {
 			s.fill(p)
--- /dev/null
+++ b/internal/rig/check_servers.go
@@ -0,0 +1,106 @@
+package rig
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+func (h *History) drains() (looked int, found []Violation) {
+	f := findings{h: h, name: "drains"}
+	listed := map[string]string{}
+	for i := range h.Events {
+		e := &h.Events[i]
+		switch e.What {
+		case Listed:
+			listed[e.Server] = e.Text
+		case Began:
+			looked++
+			if e.Node == "" || listed[e.Server] == "ready" || listed[e.Server] == "" {
+				continue
+			}
+			since := notReadySince(h.told[[2]string{e.Node, e.Server}], e.At)
+			if had := h.agentHad(e.Node, e.Server, e.At); had > 0 && (since == 0 || had < since) {
+				since = had
+			}
+			grace := h.Plan.Servers.DrainGrace + slack + h.lateness(since, e.At)
+			if since > 0 && e.At-since > int64(grace) && !h.blurred(attemptLog{e.At, e.Server, e.Node}, e.At-int64(time.Second), e.At) && !anyMeets(h.away[e.Node], since, e.At) {
+				f.add(e.Node, e.At, "%s sent %s to %s %v after it was told that it is %s", e.Node, e.ID, e.Server, time.Duration(e.At-since).Round(time.Millisecond), listed[e.Server])
+			}
+		}
+	}
+	return looked, f.all
+}
+
+// notReadySince is since when, at a time, a server's last states have been
+// others than ready; 0: it was ready then.
+func notReadySince(states []toldStatus, at int64) (since int64) {
+	for _, t := range states {
+		if t.at > at {
+			break
+		}
+		switch {
+		case t.status == "ready":
+			since = 0
+		case since == 0:
+			since = t.at
+		}
+	}
+	return since
+}
+
+// agentHad is since when a platform's node counts as notified of a server's
+// state because its local agent had it, however its watch did; 0: not by that. An
+// agent that is out of reach has what it learns when it is back.
+func (h *History) agentHad(node, server string, at int64) int64 {
+	if !h.Plan.Platform {
+		return 0
+	}
+	since := notReadySince(h.listings[server], at)
+	if since == 0 {
+		return 0
+	}
+	out := slices.Concat(h.wrong[[2]string{node, Discovery}], h.torn, h.away[node])
+	for moved := true; moved; {
+		moved = false
+		for _, s := range out {
+			if s.from <= since && since < s.to {
+				since, moved = s.to, true
+			}
+		}
+	}
+	return since
+}
+
+// slackOfTimeLeft is how much more than its client still waits a server may be told.
+const slackOfTimeLeft = 150 * time.Millisecond
+
+func (h *History) cold() (looked int, found []Violation) {
+	f := findings{h: h, name: "cold"}
+	for i := range h.Events {
+		if e := &h.Events[i]; e.What == Cold {
+			if looked++; e.N > e.Most {
+				node, part := h.mostly(e.Server, e.At-int64(h.Plan.Servers.OverloadTime), e.At)
+				f.add(node, e.At, "%s is cold and was sent %.0f requests in a window, at most %.1f; %.0f%% came from %s", e.Server, e.N, e.Most, 100*part, node)
+			}
+		}
+	}
+	return looked, f.all
+}
+
+// mostly is the node that sent a server the most within a time, and its part.
+func (h *History) mostly(server string, from, to int64) (node string, part float64) {
+	by, all := map[string]int{}, 0
+	for i := range h.Events {
+		if e := &h.Events[i]; e.What == Began && e.Server == server && from <= e.At && e.At <= to {
+			by[e.Node]++
+			all++
+		}
+	}
+	for _, one := range slices.Sorted(maps.Keys(by)) {
+		if by[one] > by[node] {
+			node = one
+		}
+	}
+	return node, float64(by[node]) / float64(max(1, all))
+}
