Catch SIGHUP from the program's first initialization on

Change: internal/hangup catches it in its init, 1 ms after the start (GODEBUG=inittrace=1: before, memberlist's init ended at 3.4 ms and main came after). The rig waits 100 ms after a start before it sends SIGHUP.

--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -23,6 +23,7 @@
 	"indigotack/internal/appconfig"
 	"indigotack/internal/clock"
 	"indigotack/internal/eventlog"
+	"indigotack/internal/hangup"
 	"indigotack/internal/metrics"
 	"indigotack/internal/node"
 	"indigotack/internal/peers"
@@ -47,14 +48,9 @@
 	}
 }
 
-// signals gives a context that ends when the program is told to stop, and a
-// channel of orders to reload. SIGHUP is caught from here to the end: by
-// itself it would end the process.
-func signals() (ctx context.Context, stop context.CancelFunc, reload chan os.Signal) {
-	ctx, stop = signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	reload = make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	return ctx, stop, reload
+// untilTerminated gives a context that ends when the program is told to stop.
+func untilTerminated() (ctx context.Context, stop context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
 
 // limitMemory has the collector work harder well before the machine's limit kills the node.
@@ -74,7 +70,7 @@
 }
 
 func run() error {
-	ctx, stop, reload := signals()
+	ctx, stop := untilTerminated()
 	defer stop()
 	path := os.Getenv("GW_CONFIG")
 	cfg, err := node.LoadConfig(path)
@@ -89,7 +85,7 @@
 		return err
 	}
 	n := node.New(cfg, log)
-	go reloadOn(context.WithoutCancel(ctx), reload, log, func() error {
+	go reloadOn(context.WithoutCancel(ctx), hangup.Signals, log, func() error {
 		next, err := node.LoadConfig(path)
 		if err == nil {
 			n.Reload(next)
@@ -149,7 +145,7 @@
 }
 
 func runSidecar(path string) error {
-	ctx, stop, reload := signals()
+	ctx, stop := untilTerminated()
 	defer stop()
 	app, err := appconfig.Load(path)
 	if err != nil {
@@ -176,7 +172,7 @@
 		return err
 	}
 	defer leave()
-	go reloadOn(context.WithoutCancel(ctx), reload, log, func() error {
+	go reloadOn(context.WithoutCancel(ctx), hangup.Signals, log, func() error {
 		next, err := appconfig.Load(path)
 		if err == nil {
 			err = s.Reload(next)
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -32,6 +32,7 @@
 	sampleTime  = 250 * time.Millisecond // between looks at processes
 	frontNotice = 300 * time.Millisecond // after SIGTERM clients are still sent to a node
 	seriesTime  = 20 * time.Millisecond  // between signals in series
+	catchTime   = 100 * time.Millisecond // for a process to begin to run and catch signals
 	maxLogLine  = 400
 )
 
@@ -129,10 +130,11 @@
 	i   int
 	dir string
 
-	offset time.Duration // of its wall clock
-	freed  func()        // ends its starving
-	crowd  *crowd        // at its door; the actor's
-	out    *os.File      // its log
+	started time.Time     // when its present run was; guarded by mu
+	offset  time.Duration // of its wall clock
+	freed   func()        // ends its starving
+	crowd   *crowd        // at its door; the actor's
+	out     *os.File      // its log
 }
 
 // server is one server.
@@ -253,12 +255,19 @@
 	if err != nil {
 		return err
 	}
-	n.run = run
+	n.run, n.started = run, time.Now()
 	n.note(Up, "", float64(run.id()))
 	go n.awaitReady(run)
 	return nil
 }
 
+// startedAt is when the present run was started.
+func (n *node) startedAt() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.started
+}
+
 func (n *node) awaitReady(run *process) {
 	url := "http://" + n.of.network.block.nodeAt(n.i) + "/health/ready"
 	for until := time.Now().Add(readyTime); time.Now().Before(until); {
@@ -556,6 +565,8 @@
 	case FaultStop:
 		n.stop(over)
 	case FaultReload:
+		// No program can catch a signal that comes before it runs.
+		pause(time.Until(n.startedAt().Add(catchTime)), n.of.ctx.Done())
 		n.signal(syscall.SIGHUP)
 	case FaultClock:
 		n.mu.Lock()
