--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -147,10 +147,18 @@
 		}
 		d.log.Warn("it was not to be had again and is taken as it is", "err", err)
 	}
-	d.take(l)
+	if d.times.again == 0 || !d.saysNothing(&l) {
+		d.take(l)
+	}
 	return nil
 }
 
+// saysNothing tells whether a list changes nothing, as an agent's answer to a
+// watch whose time is over. Others' lists tell the module that its call was answered.
+func (d *discovery) saysNothing(l *list) bool {
+	return !l.Snapshot && len(l.Entries) == 0 && l.Index == d.index
+}
+
 // noteCall keeps how a call ended, for the next one.
 func (d *discovery) noteCall(ctx context.Context, err error) {
 	switch {
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -485,3 +485,23 @@
 		})
 	}
 }
+
+// TestEmptyAnswersOfAnAgentAreNotPassedOn: a watch whose time is over without a
+// change costs the module nothing, and the next change is heard.
+func TestEmptyAnswersOfAnAgentAreNotPassedOn(t *testing.T) {
+	var calls atomic.Int32
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch calls.Add(1) {
+		case 1, 2, 3:
+			fmt.Fprint(w, `{"index":5,"snapshot":false,"endpoints":[]}`)
+		case 4:
+			fmt.Fprintf(w, `{"index":6,"snapshot":false,"endpoints":[%s]}`, entryJSON("s", "127.0.0.1:1", "draining"))
+		default:
+			<-r.Context().Done()
+		}
+	}))
+	t.Cleanup(s.Close)
+	if l := wait(t, following(t, s, planLists(agent, time.Second), 5), "a list"); l.Index != 6 || len(l.Entries) != 1 {
+		t.Errorf("%+v, want the change alone", l)
+	}
+}
--- a/internal/node/listlog.go
+++ b/internal/node/listlog.go
@@ -32,37 +32,53 @@
 
 // compareLists tells what entries, changes or a whole list, change in known.
 func compareLists(known map[string]entry, entries []entry, whole bool) (c listChange) {
-	listed := map[string]bool{}
+	kept := 0
 	for _, e := range entries {
 		was, found := known[e.Name]
-		listed[e.Name] = states[e.Status] != decide.Gone
-		switch {
-		case !listed[e.Name]:
-			if found {
-				c.removed = append(c.removed, e.Name)
-			}
-		case !found:
-			c.added = append(c.added, e.Name)
-		case was.Status != e.Status && states[e.Status] == decide.Draining:
-			c.draining = append(c.draining, e.Name)
-		case was.SinceMS != e.SinceMS:
-			c.restarted = append(c.restarted, e.Name)
-		case was.Status != e.Status:
-			c.ready = append(c.ready, e.Name)
-		case was.Address != e.Address:
-			c.moved = append(c.moved, e.Name)
+		if found && states[e.Status] != decide.Gone {
+			kept++
 		}
+		c.add(e, was, found)
 	}
-	if whole {
-		for name := range known {
-			if !listed[name] && !slices.Contains(c.removed, name) {
-				c.removed = append(c.removed, name)
-			}
-		}
+	if whole && kept+len(c.removed) < len(known) {
+		c.removed = leftOut(known, entries)
 	}
 	return c
 }
 
+// add notes what an entry changes.
+func (c *listChange) add(e, was entry, found bool) {
+	switch state := states[e.Status]; {
+	case state == decide.Gone && found:
+		c.removed = append(c.removed, e.Name)
+	case state == decide.Gone:
+	case !found:
+		c.added = append(c.added, e.Name)
+	case was.Status != e.Status && state == decide.Draining:
+		c.draining = append(c.draining, e.Name)
+	case was.SinceMS != e.SinceMS:
+		c.restarted = append(c.restarted, e.Name)
+	case was.Status != e.Status:
+		c.ready = append(c.ready, e.Name)
+	case was.Address != e.Address:
+		c.moved = append(c.moved, e.Name)
+	}
+}
+
+// leftOut gives the known servers that a whole list does not have, or has as gone.
+func leftOut(known map[string]entry, entries []entry) (names []string) {
+	listed := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		listed[e.Name] = states[e.Status] != decide.Gone
+	}
+	for name := range known {
+		if !listed[name] {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // applyList brings what is known up to a list, which is whole or changes.
 func applyList(known map[string]entry, entries []entry, whole bool) {
 	if whole {
