Refuse half a request in words when its connection gives way

Cause: a connection that stopped in the middle of a request was closed without a word to make room for another. Change: it gets the refusal that one gets at a node's end, and then the close. TestNoWallTimes reads more packages; peers is left out, as it rounds a time for display.

--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"syscall"
 	"time"
@@ -181,7 +182,7 @@
 // writes, as the server still reads.
 func (c *clientConn) refuse() {
 	c.refused = true
-	c.of.observer.count(eventRequest, "refused_unfinished")
+	c.of.observer.note(slog.LevelInfo, "half a request refused", eventRequest, "refused_unfinished", "client", c.RemoteAddr())
 	c.Conn.SetWriteDeadline(time.Now().Add(refuseWriteTime))
 	if _, err := c.Conn.Write([]byte(refusal)); err == nil {
 		c.CloseWrite()
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -200,7 +200,8 @@
 }
 
 // evict gives up the connection that is least likely to be missed, for the
-// caller to close once it has let go of mu. It is nil if each carries something.
+// caller to close once it has let go of mu. Half a request is refused before. It
+// is nil if each carries something.
 func (l *limited) evict(now time.Time) *clientConn {
 	var worst *clientConn
 	var worstRank int
@@ -214,6 +215,9 @@
 		}
 	}
 	if worst != nil {
+		if l.idle[worst].Begun {
+			worst.refuse()
+		}
 		worst.end()
 	}
 	return worst
--- a/internal/node/walltime_test.go
+++ b/internal/node/walltime_test.go
@@ -17,7 +17,7 @@
 // packages turns times into Unix time or back. Those that have to know the wall
 // time ask package clock.
 func TestNoWallTimes(t *testing.T) {
-	for _, dir := range []string{".", "../lifecycle", "../eventlog", "../../cmd/indigotack"} {
+	for _, dir := range []string{".", "../lifecycle", "../eventlog", "../metrics", "../admin", "../view", "../route", "../hangup", "../neterr", "../../decide", "../../cmd/indigotack"} {
 		files := token.NewFileSet()
 		packages, err := parser.ParseDir(files, dir, func(f fs.FileInfo) bool { return !strings.HasSuffix(f.Name(), "_test.go") }, 0)
 		if err != nil {
