Call an agent that does not hold calls ten times a second at most

Cause: with a hold of half a second an agent that answers at once, though more slowly than within a hundredth of that, was called in a loop. Change: an answer without news that comes within half of the hold is followed by a rest. Measured: the follow, agent, drain and list tests of internal/node pass.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -267,7 +267,7 @@
 		if err := d.call(ctx, fmt.Sprintf("?from=%d&hold_ms=%d", d.index, hold.Milliseconds()), d.wait(hold, answer)); err != nil {
 			return err
 		}
-		if d.index == before && time.Since(began) < hold/100 {
+		if d.index == before && time.Since(began) < hold/2 {
 			// An agent that does not hold calls must not be called in a loop.
 			if !sleep(ctx, min(100*time.Millisecond, d.times.high)) {
 				return ctx.Err()
