Check again that decide.go names the interface's file at its top

Change: TestModuleCanBeRead has that check again, as it was. No other code changes. Measured: TestModuleCanBeRead passes under the race detector.

--- a/decide/limits_test.go
+++ b/decide/limits_test.go
@@ -42,6 +42,13 @@
 		}
 		checkLength(t, file)
 	}
+	text, err = os.ReadFile("decide.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(text[:400]), "api.go") {
+		t.Error("the interface's file must be named at the top")
+	}
 }
 
 func checkLength(t *testing.T, file string) {
