Log the node's state every two seconds, with the age of its list

Change: a line every 2 s with phase, version and age of the list, servers that drain, open requests and clients' connections.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -42,11 +42,12 @@
 	// So many calls had no answer, or one that was too slow, since the last that was answered.
 	silentCalls, slowCalls int
 	*observer
-	index  uint64          // 0: none yet, so that the whole list is asked for
-	names  map[string]bool // listed, but for those gone
-	asking bool            // for a second opinion
-	listed func(list)
-	failed func()
+	answered atomic.Pointer[time.Time] // when a call was answered last; nil: none was yet
+	index    uint64                    // 0: none yet, so that the whole list is asked for
+	names    map[string]bool           // listed, but for those gone
+	asking   bool                      // for a second opinion
+	listed   func(list)
+	failed   func()
 
 	ended chan struct{}      // closed when this discovery is no longer the node's
 	stop  context.CancelFunc // of the task under way
@@ -163,6 +164,8 @@
 func (d *discovery) noteCall(ctx context.Context, err error) {
 	switch {
 	case err == nil:
+		now := time.Now()
+		d.answered.Store(&now)
 		d.silentCalls, d.slowCalls = 0, 0
 	case err == errSlow:
 		d.slowCalls = min(d.slowCalls+1, mostUnanswered)
@@ -172,6 +175,14 @@
 	d.count(eventDiscovery, callResult(ctx, err))
 }
 
+// answeredAgo is how long ago a call was answered; -1: none was yet.
+func (d *discovery) answeredAgo() time.Duration {
+	if at := d.answered.Load(); at != nil {
+		return time.Since(*at)
+	}
+	return -1
+}
+
 // callResult names how a call ended, for the counters.
 func callResult(ctx context.Context, err error) string {
 	switch {
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"runtime/debug"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"indigotack/decide"
@@ -37,8 +38,9 @@
 	plan   func() lifecycle.ShutdownPlan // of a stop that begins now
 	drain  func(open func() int)         // serves on until clients are asked to close
 	// read checks a request. The status goes with the error.
-	read func(w http.ResponseWriter, r *http.Request) (*taken, int, error)
-	over chan struct{} // closed when all that is taken has to be answered
+	read    func(w http.ResponseWriter, r *http.Request) (*taken, int, error)
+	over    chan struct{}           // closed when all that is taken has to be answered
+	limited atomic.Pointer[limited] // the listener while it serves
 }
 
 // times bounds what the front waits for on its connections.
@@ -68,6 +70,7 @@
 	srv := &http.Server{Handler: f, ReadHeaderTimeout: f.times.head, ReadTimeout: f.times.read, IdleTimeout: f.times.idle,
 		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug)}
 	limited := limitListener(ln, f.most, f.observer)
+	f.limited.Store(limited)
 	srv.ConnState = limited.note
 	srv.ConnContext = withClient
 	failed := make(chan error, 1)
@@ -130,6 +133,14 @@
 // phase is where the node is in its life now.
 func (f *frontend) phase() lifecycle.Phase { return f.life.Phase(time.Now()) }
 
+// connections counts clients' connections.
+func (f *frontend) connections() int {
+	if l := f.limited.Load(); l != nil {
+		return l.open()
+	}
+	return 0
+}
+
 // closing tells whether clients are asked to close.
 func (f *frontend) closing() bool { return f.phase() >= lifecycle.Closing }
 
--- a/internal/node/listlog.go
+++ b/internal/node/listlog.go
@@ -98,6 +98,7 @@
 // noteList logs what a list changes, before it is taken up, and counts lists.
 func (n *owner) noteList(entries []entry, version uint64, kind decide.ListKind) {
 	n.count(eventList, listKinds[kind])
+	n.listVersion = version
 	change := compareLists(n.entries, entries, kind != decide.ListChanges)
 	applyList(n.entries, entries, kind != decide.ListChanges)
 	if !change.empty() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,6 +101,7 @@
 	stop := n.run(ctx)
 	defer stop()
 	go n.summarize(n.ended)
+	go n.logState()
 	n.cfg.known.note(n.log)
 	n.post(func() { n.follow(n.cfg.known.Entries, n.cfg.known.Index, decide.ListCached) })
 	if !n.cfg.Settings.AskForList {
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -32,15 +32,16 @@
 	ask         func(fetch, watch bool) // how the module asks for a list; nil where lists are pushed
 
 	// The rest belongs to the loop.
-	set        decide.Settings
-	ctx        context.Context
-	module     *decide.Module
-	ids        *ids
-	listed     map[string]decide.ServerID
-	entries    map[string]entry // as listed last
-	startTimes startTimes
-	requests   map[decide.RequestID]*request
-	queue      []decide.Event // that came of actions, to be handled next
+	set         decide.Settings
+	ctx         context.Context
+	module      *decide.Module
+	ids         *ids
+	listed      map[string]decide.ServerID
+	entries     map[string]entry // as listed last
+	listVersion uint64           // of that list
+	startTimes  startTimes
+	requests    map[decide.RequestID]*request
+	queue       []decide.Event // that came of actions, to be handled next
 }
 
 // request is a client's request until it is answered and its attempts have ended.
--- /dev/null
+++ b/internal/node/state.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"indigotack/decide"
+)
+
+const (
+	stateEvery = 2 * time.Second // between lines of the log that tell the node's state
+	stateTime  = time.Second     // for the event loop to tell it
+)
+
+// nodeState is what a node believes and holds at some moment. Beside a request
+// in the log it tells what the node knew when it sent that request.
+type nodeState struct {
+	phase             string
+	listVersion       uint64
+	discoveryAnswered time.Duration // ago; -1: never
+	servers           int
+	draining          []string // names of servers that are listed as draining
+	openRequests      int
+	clientConnections int
+}
+
+// attributes gives the state as attributes of a line of the log.
+func (s nodeState) attributes() []any {
+	answered := "never"
+	if s.discoveryAnswered >= 0 {
+		answered = s.discoveryAnswered.Round(time.Millisecond).String()
+	}
+	return []any{"phase", s.phase, "list_version", s.listVersion, "discovery_answered_ago", answered, "servers", s.servers,
+		"draining", names(s.draining), "open_requests", s.openRequests, "client_connections", s.clientConnections}
+}
+
+// state asks the event loop for the node's state. It is false where the loop
+// has ended, or does not get to it within stateTime.
+func (n *Node) state() (s nodeState, ok bool) {
+	told := make(chan nodeState, 1)
+	go n.post(func() { told <- n.stateOnLoop() })
+	select {
+	case s = <-told:
+		return s, true
+	case <-n.ended:
+	case <-time.After(stateTime):
+	}
+	return s, false
+}
+
+// stateOnLoop is to be called by the event loop.
+func (n *Node) stateOnLoop() nodeState {
+	s := nodeState{phase: n.front.phase().String(), listVersion: n.listVersion, discoveryAnswered: n.discovery.answeredAgo(),
+		servers: len(n.entries), openRequests: len(n.requests), clientConnections: n.front.connections()}
+	for name, e := range n.entries {
+		if states[e.Status] == decide.Draining {
+			s.draining = append(s.draining, name)
+		}
+	}
+	slices.Sort(s.draining)
+	return s
+}
+
+// logState logs the node's state every stateEvery until the loop has ended.
+func (n *Node) logState() {
+	ticker := time.NewTicker(stateEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-n.ended:
+			return
+		}
+		if s, ok := n.state(); ok {
+			n.log.Log(n.ctx, slog.LevelInfo, "state", s.attributes()...)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/state_test.go
@@ -0,0 +1,48 @@
+package node
+
+import (
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"indigotack/decide"
+)
+
+// TestLogTellsTheNodesState: what an operator needs beside a request that went
+// to the wrong server: which list the node had, how old its news were, which
+// servers drained, and whether the node itself was told to end.
+func TestLogTellsTheNodesState(t *testing.T) {
+	log := &lockedBuffer{}
+	n := New(testConfig("127.0.0.1:1"), slog.New(slog.NewTextHandler(log, nil)))
+	stop := n.run(t.Context())
+	defer stop()
+	if s, ok := n.state(); !ok || s.discoveryAnswered != -1 || s.phase != "starting" {
+		t.Errorf("before discovery answers: %+v, %v", s, ok)
+	}
+	n.post(func() {
+		n.follow([]entry{{Name: "s-1", Address: "127.0.0.1:1", Status: "ready"}, {Name: "s-2", Address: "127.0.0.1:2", Status: "draining"}}, 54, decide.ListFull)
+	})
+	n.discovery.noteCall(t.Context(), nil)
+	s, ok := n.state()
+	if !ok || s.listVersion != 54 || s.servers != 2 || len(s.draining) != 1 || s.draining[0] != "s-2" || s.phase != "ready" ||
+		s.discoveryAnswered < 0 || s.discoveryAnswered > enough {
+		t.Errorf("after a list: %+v, %v", s, ok)
+	}
+	go n.logState()
+	for until := time.Now().Add(stateEvery + enough); !strings.Contains(log.String(), "msg=state"); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("the log does not tell the state:\n%s", log)
+		}
+	}
+	for _, want := range []string{"list_version=54", "draining=[s-2]", "phase=ready", "discovery_answered_ago=", "open_requests=0", "client_connections=0"} {
+		if !strings.Contains(log.String(), want) {
+			t.Errorf("the log does not tell %s:\n%s", want, log)
+		}
+	}
+	stop()
+	<-n.ended
+	if _, ok := n.state(); ok {
+		t.Error("a loop that has ended tells a state")
+	}
+}
