Rig: live weights, moving discovery, servers that come back from a drain, old known lists

Change: fleet.weights, the fault move (the old address learns nothing more, the new one counts 4 s later), drain with back, known in nodes' files; the checker of drains counts from a new process's start instead of excusing it. Soaks draw all of them.

--- a/internal/rig/check_servers.go
+++ b/internal/rig/check_servers.go
@@ -20,11 +20,15 @@
 				continue
 			}
 			since := notReadySince(h.told[[2]string{e.Node, e.Server}], e.At)
+			if since < h.runsSince(e.Node, e.At) {
+				since = 0 // the process before was told
+			}
 			if had := h.agentHad(e.Node, e.Server, e.At); had > 0 && (since == 0 || had < since) {
 				since = had
 			}
 			grace := h.Plan.Servers.DrainGrace + slack + h.lateness(since, e.At)
-			if since > 0 && e.At-since > int64(grace) && !h.blurred(attemptLog{e.At, e.Server, e.Node}, e.At-int64(time.Second), e.At) && !anyMeets(h.away[e.Node], since, e.At) {
+			away := !h.Plan.Platform && anyMeets(h.away[e.Node], since, e.At)
+			if since > 0 && e.At-since > int64(grace) && !h.blurred(attemptLog{e.At, e.Server, e.Node}, e.At-int64(time.Second), e.At) && !away {
 				f.add(e.Node, e.At, "%s sent %s to %s %v after it was told that it is %s", e.Node, e.ID, e.Server, time.Duration(e.At-since).Round(time.Millisecond), listed[e.Server])
 			}
 		}
@@ -49,9 +53,28 @@
 	return since
 }
 
+// runsSince is when a platform's node began to run as it does at a time, after a
+// stop or standing still; 0: it has run from the beginning.
+func (h *History) runsSince(node string, at int64) (since int64) {
+	if !h.Plan.Platform {
+		return 0
+	}
+	for _, s := range h.away[node] {
+		if s.to <= at {
+			since = max(since, s.to)
+		}
+	}
+	return since
+}
+
+// movedTime is within which what a node's agent has at a new address counts as
+// known to the node, after it was told to follow it there.
+const movedTime = 4 * time.Second
+
 // agentHad is since when a platform's node counts as notified of a server's
 // state because its local agent had it, however its watch did; 0: not by that. An
-// agent that is out of reach has what it learns when it is back.
+// agent that is out of reach has what it learns when it is back, a node that
+// starts is told by what its agent has then, and one whose agent moves has time for that.
 func (h *History) agentHad(node, server string, at int64) int64 {
 	if !h.Plan.Platform {
 		return 0
@@ -60,7 +83,8 @@
 	if since == 0 {
 		return 0
 	}
-	out := slices.Concat(h.wrong[[2]string{node, Discovery}], h.torn, h.away[node])
+	since = max(since, h.runsSince(node, at))
+	out := slices.Concat(h.wrong[[2]string{node, Discovery}], h.torn, h.away[node], h.moves[node])
 	for moved := true; moved; {
 		moved = false
 		for _, s := range out {
--- a/internal/rig/evidence.go
+++ b/internal/rig/evidence.go
@@ -60,7 +60,7 @@
 // newHistory puts events together.
 func newHistory(p *Plan, events []Event) *History {
 	h := &History{Plan: p, Events: events, end: forever, quiet: forever, requests: map[string]*requestLog{}, away: map[string][]span{}, stands: map[string][]span{},
-		starved: map[string][]span{}, wrong: map[[2]string][]span{}, missed: map[string][]int64{}, busy: map[int]bool{}, told: map[[2]string][]toldStatus{}, views: map[string][]viewLog{}, listings: map[string][]toldStatus{}}
+		starved: map[string][]span{}, wrong: map[[2]string][]span{}, missed: map[string][]int64{}, busy: map[int]bool{}, told: map[[2]string][]toldStatus{}, views: map[string][]viewLog{}, listings: map[string][]toldStatus{}, moves: map[string][]span{}}
 	classes := map[string]*Class{}
 	for i := range p.Classes {
 		classes[p.Classes[i].Name] = &p.Classes[i]
@@ -112,6 +112,8 @@
 			h.listings[e.Server] = append(h.listings[e.Server], toldStatus{e.At, e.Text})
 		case Ordered:
 			switch e.Text {
+			case discoveryMoved:
+				h.moves[name] = append(h.moves[name], span{from: e.At, to: e.At + int64(movedTime)})
 			case killedAtLast:
 				atLast[name] = true
 			case "killed":
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -196,9 +196,9 @@
 	case FaultStop:
 		n.stop(over)
 	case FaultReload:
-		// No program can catch a signal that comes before it runs.
-		pause(time.Until(n.startedAt().Add(catchTime)), n.of.ctx.Done())
-		n.signal(syscall.SIGHUP)
+		n.reload()
+	case FaultMove:
+		n.moveDiscovery()
 	case FaultClock:
 		n.mu.Lock()
 		if n.offset = fault.Offset; over {
@@ -255,6 +255,10 @@
 			v.list("draining")
 			return
 		}
+		if fault.Back {
+			v.list("ready")
+			return
+		}
 		v.held++ // for good
 		v.list("gone")
 		pause(frontNotice, f.ctx.Done())
--- a/internal/rig/history.go
+++ b/internal/rig/history.go
@@ -45,6 +45,9 @@
 // killedAtLast is the text of an order to end that comes when a node should have ended by itself.
 const killedAtLast = "killed at last"
 
+// discoveryMoved is the text of an order to follow discovery to another address.
+const discoveryMoved = "discovery has moved"
+
 // Event is one line of a history.
 type Event struct {
 	At     int64   `json:"t"` // nanoseconds
--- a/internal/rig/network.go
+++ b/internal/rig/network.go
@@ -21,6 +21,7 @@
 	seenPort      = 8081 // where clients find a node
 	discoveryPort = 8500 // where a node finds discovery
 	registryPort  = 8501 // where discovery itself listens for that node
+	movePorts     = 10   // between those ports and the ones to which discovery moves
 	serverPort    = 9000
 	firstServer   = 10000 // where a node finds server 0
 	peerPort      = 7946
@@ -53,12 +54,14 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, k.a, k.b, byte(i + 1)}), uint16(port)).String()
 }
 
-func (k *block) nodeAt(i int) string          { return k.at(i, nodePort) }
-func (k *block) seenAt(i int) string          { return k.at(i, seenPort) }
-func (k *block) discoveryAt(i int) string     { return k.at(i, discoveryPort) }
-func (k *block) registryAt(i int) string      { return k.at(i, registryPort) }
-func (k *block) serverAt(j int) string        { return k.at(100+j, serverPort) }
-func (k *block) serverSeenAt(i, j int) string { return k.at(i, firstServer+j) }
+func (k *block) nodeAt(i int) string { return k.at(i, nodePort) }
+func (k *block) seenAt(i int) string { return k.at(i, seenPort) }
+func (k *block) discoveryAt(i, place int) string {
+	return k.at(i, discoveryPort+place*movePorts)
+}
+func (k *block) registryAt(i, place int) string { return k.at(i, registryPort+place*movePorts) }
+func (k *block) serverAt(j int) string          { return k.at(100+j, serverPort) }
+func (k *block) serverSeenAt(i, j int) string   { return k.at(i, firstServer+j) }
 
 // peerAt is where the others find a node, and ownPeerAt where it listens, and
 // from where it sends: the switchboard and the hubs know it by that.
@@ -101,7 +104,9 @@
 	for i := range p.Nodes {
 		name := nodeName(i)
 		add(Clients, name, k.seenAt(i), k.nodeAt(i))
-		add(name, Discovery, k.discoveryAt(i), k.registryAt(i))
+		for place := range discoveryPlaces {
+			add(name, Discovery, k.discoveryAt(i, place), k.registryAt(i, place))
+		}
 		for j := range p.Servers.Count {
 			add(name, serverName(j), k.serverSeenAt(i, j), k.serverAt(j))
 		}
@@ -167,11 +172,15 @@
 	}
 }
 
-// registry is discovery with a front for each node, which gives servers'
-// addresses as that node sees them.
+// discoveryPlaces are the addresses between which a node's discovery can move.
+const discoveryPlaces = 2
+
+// registry is discovery with a front for each node at each place, which gives
+// servers' addresses as that node sees them.
 type registry struct {
 	*standin.Registry
-	fronts []*standin.Front
+	seen   []func(standin.Entry) standin.Entry // by node
+	fronts [][discoveryPlaces]*standin.Front   // by node
 }
 
 func newRegistry(p *Plan, k *block, wrote func(node string, a standin.Written)) (*registry, error) {
@@ -181,25 +190,43 @@
 	}
 	r := &registry{Registry: list}
 	for i := range p.Nodes {
-		seen := map[string]string{}
+		addresses := map[string]string{}
 		for j := range p.Servers.Count {
-			seen[serverName(j)] = k.serverSeenAt(i, j)
+			addresses[serverName(j)] = k.serverSeenAt(i, j)
 		}
-		front, err := list.Front(k.registryAt(i), func(e standin.Entry) standin.Entry {
-			e.Address = seen[e.Name]
+		seen := func(e standin.Entry) standin.Entry {
+			e.Address = addresses[e.Name]
 			return e
-		}, func(a standin.Written) { wrote(nodeName(i), a) })
-		if err != nil {
-			return nil, errors.Join(err, r.close())
 		}
-		r.fronts = append(r.fronts, front)
+		r.seen = append(r.seen, seen)
+		var fronts [discoveryPlaces]*standin.Front
+		for place := range fronts {
+			if fronts[place], err = list.Front(k.registryAt(i, place), seen, func(a standin.Written) { wrote(nodeName(i), a) }); err != nil {
+				return nil, errors.Join(err, r.close())
+			}
+		}
+		r.fronts = append(r.fronts, fronts)
 	}
 	return r, nil
 }
 
+// move has a node's discovery learn at another place only. What the node finds
+// at the old one stays as it is now.
+func (r *registry) move(node, place int) {
+	for i, front := range r.fronts[node] {
+		if i == place {
+			front.Thaw()
+		} else {
+			front.Freeze()
+		}
+	}
+}
+
 func (r *registry) close() error {
-	for _, f := range r.fronts {
-		f.Close()
+	for _, fronts := range r.fronts {
+		for _, f := range fronts {
+			f.Close()
+		}
 	}
 	return r.Registry.Close()
 }
--- a/internal/rig/node.go
+++ b/internal/rig/node.go
@@ -24,6 +24,8 @@
 
 	started time.Time     // when its present run was; guarded by mu
 	offset  time.Duration // of its wall clock
+	place   int           // of its discovery; the actor's
+	known   *knownList    // of a platform's node
 	freed   func()        // ends its starving
 	crowd   *crowd        // at its door; the actor's
 	out     *os.File      // its log
@@ -40,7 +42,7 @@
 	line("version = 1\nname = %q\n[listen]\naddress = %q\n[limits]\nmemory_mb = 192\ndescriptors = 1024", n.name, k.nodeAt(n.i))
 	v := p.Servers
 	line("[servers]\ndiscovery = %q\ncold_from = %v\ncold_time = %q\noverload_factor = %v\noverload_time = %q\ndrain_grace = %q",
-		k.discoveryAt(n.i), v.ColdFrom, v.ColdTime, v.OverloadFactor, v.OverloadTime, v.DrainGrace)
+		k.discoveryAt(n.i, n.place), v.ColdFrom, v.ColdTime, v.OverloadFactor, v.OverloadTime, v.DrainGrace)
 	line("[fleet]\nnodes = %d\nnumber = %d\nzone = %q\nkinds = [%q]\n[timeouts]\nidle = %q", p.Nodes, n.i, p.zone(n.name), kind, p.Idle)
 	if p.Peers {
 		line("[peers]\nlisten = %q\nadvertise = %q\nstate = \"state\"\njoin = [%q, %q]", k.ownPeerAt(n.i), k.peerAt(n.i), k.peerAt(0), k.peerAt(min(1, p.Nodes-1)))
@@ -130,6 +132,26 @@
 	n.note(Logged, string(line[:min(len(line), maxLogLine)]), 0)
 }
 
+// moveDiscovery has the node's discovery move: its file names another place, it
+// is told to read it, and what it finds at the old place learns nothing more.
+func (n *node) moveDiscovery() {
+	n.place = (n.place + 1) % discoveryPlaces
+	if err := n.file(); err != nil {
+		n.failed(err.Error())
+		return
+	}
+	n.of.registry.move(n.i, n.place)
+	n.note(Ordered, discoveryMoved, 0)
+	n.reload()
+}
+
+// reload tells the node to read its file again. No program can catch a signal
+// that comes before it runs.
+func (n *node) reload() {
+	pause(time.Until(n.startedAt().Add(catchTime)), n.of.ctx.Done())
+	n.signal(syscall.SIGHUP)
+}
+
 // ended hears that a run is over. Clients notice later.
 func (n *node) ended(run *process) {
 	how := run.state.String()
--- a/internal/rig/plan.go
+++ b/internal/rig/plan.go
@@ -51,6 +51,7 @@
 	Peers    bool          // nodes keep a view of their fleet
 	Platform bool          // nodes run as on a platform, by settings and with a local agent for the list
 	Sockets  float64       // part of the nodes' accepts and connects that fail; wants a program built for that
+	Weights  time.Duration // every so often all servers are listed with new weights, in a version of their own; 0: never
 	Idle     time.Duration // nodes keep connections to servers so long, less a quarter
 }
 
@@ -100,6 +101,7 @@
 	FaultStarve    = "starve"    // a node gets one part of Factor of one core
 	FaultClock     = "clock"     // a node starts again, its wall clock being off by Offset
 	FaultReload    = "reload"    // SIGHUP; nodes only
+	FaultMove      = "move"      // a node's discovery moves to another address, which its file names and SIGHUP tells; the old one learns nothing more
 	FaultSlow      = "slow"      // a server is slower by Factor
 	FaultFail      = "fail"      // a server answers Part of its requests with an error
 	FaultHang      = "hang"      // a server takes requests and says nothing
@@ -110,7 +112,7 @@
 	FaultCrowd     = "crowd"     // clients hold so many connections to a node and send nothing, or half a request
 )
 
-var faultWords = []string{FaultLink, FaultPartition, FaultKill, FaultTerm, FaultStop, FaultStarve, FaultClock, FaultReload, FaultSlow, FaultFail, FaultHang, FaultDrain, FaultTorn, FaultSilent, FaultStep, FaultCrowd}
+var faultWords = []string{FaultLink, FaultPartition, FaultKill, FaultTerm, FaultStop, FaultStarve, FaultClock, FaultReload, FaultMove, FaultSlow, FaultFail, FaultHang, FaultDrain, FaultTorn, FaultSilent, FaultStep, FaultCrowd}
 
 // Fault is one thing that goes wrong.
 type Fault struct {
@@ -125,6 +127,7 @@
 	Part    float64  // of them, drawn; or of a failing server's answers
 	Factor  float64
 	Offset  time.Duration
+	Back    bool   // drain: the server is listed as ready after the duration, and goes on
 	Kill    bool   // term: SIGKILL as early as a platform may send it
 	Series  bool   // term: SIGHUP and a second SIGTERM come with it, before it and after
 	Number  int    // crowd: connections
@@ -236,6 +239,7 @@
 		s.Bad("peers", "false on a platform, where nodes keep no view")
 	}
 	p.Sockets = s.Float("socket_faults", 0, 0, 0.5)
+	p.Weights = s.Duration("weights", 0, 50*time.Millisecond, time.Hour)
 	p.Idle = s.Duration("idle", p.Idle, 100*time.Millisecond, time.Hour)
 	for _, one := range s.Strings("programs") {
 		if !filepath.IsAbs(one) {
@@ -417,7 +421,7 @@
 	f.Targets = s.Strings("targets")
 	allowed, what := func(end string) bool { return isNode(end) || isServer(end) }, "nodes or servers"
 	switch f.What {
-	case FaultTerm, FaultStarve, FaultClock, FaultReload, FaultStep, FaultCrowd:
+	case FaultTerm, FaultStarve, FaultClock, FaultReload, FaultMove, FaultStep, FaultCrowd:
 		allowed, what = isNode, "nodes"
 	case FaultSlow, FaultFail, FaultHang, FaultDrain:
 		allowed, what = isServer, "servers"
@@ -445,10 +449,16 @@
 	if f.What == FaultTerm {
 		f.Kill, f.Series = s.Bool("kill", false), s.Bool("series", false)
 	}
+	if f.What == FaultDrain {
+		f.Back = s.Bool("back", false)
+	}
+	if f.What == FaultMove && !p.Platform {
+		s.Bad("what", "fleet.platform = true, where a local agent has the list")
+	}
 	if f.What != FaultFail && s.Has("part") {
 		f.Part = s.Float("part", 0, 0.001, 1)
 	}
-	if f.For == 0 && (f.What == FaultStop || f.What == FaultTerm || f.What == FaultDrain || f.What == FaultStep || f.What == FaultCrowd) {
+	if f.For == 0 && (f.What == FaultStop || f.What == FaultTerm || f.What == FaultDrain && f.Back || f.What == FaultStep || f.What == FaultCrowd) {
 		s.Bad("for", "a time after which it is over")
 	}
 }
@@ -483,6 +493,9 @@
 	if p.Platform {
 		line("platform = true")
 	}
+	if p.Weights > 0 {
+		line("weights = %q", p.Weights)
+	}
 	if p.Sockets > 0 {
 		line("socket_faults = %v", p.Sockets)
 	}
@@ -583,6 +596,9 @@
 	case FaultKill, FaultTerm:
 		set("state", f.State)
 	}
+	if f.Back {
+		set("back", true)
+	}
 	if f.Kill {
 		set("kill", true)
 	}
--- a/internal/rig/platform.go
+++ b/internal/rig/platform.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/standin"
 	"indigotack/internal/wire"
 )
 
@@ -48,15 +49,33 @@
 		return err
 	}
 	k := n.of.network.block
-	text, err := json.Marshal(map[string]any{"name": n.name, "listen": k.nodeAt(n.i), "discovery": k.discoveryAt(n.i),
+	text, err := json.Marshal(map[string]any{"name": n.name, "listen": k.nodeAt(n.i), "discovery": k.discoveryAt(n.i, n.place),
 		"seed": fmt.Sprintf("%x", n.of.plan.Seed*1000+uint64(n.i)+1), "limits": map[string]int{"memory_mb": 192, "sockets": platformSockets},
-		"settings": json.RawMessage(settings)})
+		"known": n.known, "settings": json.RawMessage(settings)})
 	if err != nil {
 		return err
 	}
 	return os.WriteFile(filepath.Join(n.dir, platformConfig), text, 0o600)
 }
 
+// knownList is the list that a platform gives a node with its configuration. It
+// is that of the load's beginning, and so an old one to nodes that start later.
+type knownList struct {
+	Index     uint64          `json:"index"`
+	Snapshot  bool            `json:"snapshot"`
+	Endpoints []standin.Entry `json:"endpoints"`
+}
+
+// knownTo is the list as a node sees it now.
+func (r *registry) knownTo(node int) *knownList {
+	index, entries := r.List()
+	known := &knownList{Index: index, Snapshot: true}
+	for _, e := range entries {
+		known.Endpoints = append(known.Endpoints, r.seen[node](e))
+	}
+	return known
+}
+
 // stepClock moves a node's wall clock while it runs.
 func (n *node) stepClock(offset time.Duration) {
 	// Written beside and renamed, as the node may read it at any moment.
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -125,6 +125,9 @@
 				return err
 			}
 		}
+		if f.plan.Platform {
+			n.known = f.registry.knownTo(i)
+		}
 		if n.out, err = os.Create(filepath.Join(n.dir, "log")); err == nil {
 			err = n.file()
 		}
@@ -199,6 +202,9 @@
 	defer watchers.Wait()
 	defer close(end)
 	watchers.Go(func() { f.sample(end) })
+	if p.Weights > 0 {
+		watchers.Go(func() { f.reweigh(end) })
+	}
 	if p.Peers {
 		watchers.Go(func() { f.watchViews(end) })
 	}
@@ -251,6 +257,14 @@
 	return nil
 }
 
+// reweigh lists all servers with new weights every Weights, until end is closed.
+func (f *fleet) reweigh(end <-chan struct{}) {
+	rng := rand.New(rand.NewPCG(f.plan.Seed, 19))
+	for pause(f.plan.Weights, end) {
+		f.registry.Reweigh(func(standin.Entry) float64 { return 0.5 + rng.Float64() })
+	}
+}
+
 // lower ends everything.
 func (f *fleet) lower() error {
 	err := f.stop()
--- a/internal/rig/soak.go
+++ b/internal/rig/soak.go
@@ -40,6 +40,9 @@
 	if rng.IntN(2) == 0 {
 		p.Sockets = []float64{0.005, 0.02, 0.05}[rng.IntN(3)]
 	}
+	if rng.IntN(4) > 0 {
+		p.Weights = tenths(rng, 2, 13)
+	}
 	p.Want = Want{Memory: 192, Recover: 2 * time.Second}
 	p.soakEndings(rng)
 	for range 3 + rng.IntN(5) {
@@ -86,7 +89,7 @@
 	f := Fault{At: tenths(rng, 5, 70), For: tenths(rng, 3, 25)}
 	aNode, aServer := nodeName(rng.IntN(p.Nodes)), serverName(rng.IntN(p.Servers.Count))
 	kinds := []string{FaultLink, FaultLink, FaultKill, FaultStop, FaultReload, FaultStep, FaultStep, FaultSlow, FaultFail, FaultHang, FaultDrain,
-		FaultTorn, FaultSilent, FaultCrowd}
+		FaultTorn, FaultSilent, FaultCrowd, FaultMove, FaultMove}
 	switch f.What = kinds[rng.IntN(len(kinds))]; f.What {
 	case FaultLink:
 		f.Between = [][2]string{{aNode, aServer}, {"n*", aServer}, {aNode, "s*"}, {"n*", Discovery}, {aNode, Discovery}}[rng.IntN(5)]
@@ -106,6 +109,11 @@
 		f.For = min(f.For, 1500*time.Millisecond)
 	case FaultReload:
 		f.Targets, f.For = []string{"n*"}, 0
+	case FaultMove:
+		f.Targets, f.For = []string{"n*"}, 0
+		if rng.IntN(2) == 0 {
+			f.Every = tenths(rng, 1, 3)
+		}
 	case FaultStep:
 		f.Targets = []string{"n*"}
 		f.Offset = []time.Duration{time.Hour, -time.Hour, 5 * time.Second, -5 * time.Second}[rng.IntN(4)]
@@ -116,7 +124,7 @@
 	case FaultHang:
 		f.Targets = []string{aServer}
 	case FaultDrain:
-		f.Targets, f.For = []string{aServer}, tenths(rng, 25, 40)
+		f.Targets, f.For, f.Back = []string{aServer}, tenths(rng, 25, 40), rng.IntN(2) == 0
 	case FaultCrowd:
 		f.Targets, f.Number = []string{aNode}, 150+rng.IntN(150)
 	}
--- a/internal/rig/timetable.go
+++ b/internal/rig/timetable.go
@@ -88,7 +88,7 @@
 			}
 		default:
 			targets := p.draw(rng, f)
-			lasting := f.For == 0 && (f.What == FaultKill || f.What == FaultReload || f.What == FaultClock)
+			lasting := f.For == 0 && (f.What == FaultKill || f.What == FaultReload || f.What == FaultMove || f.What == FaultClock)
 			over := func(at time.Duration) time.Duration {
 				switch {
 				case lasting:
--- a/internal/standin/registry.go
+++ b/internal/standin/registry.go
@@ -63,20 +63,42 @@
 		return nil, err
 	}
 	r := &Registry{ln: ln, index: 1, entries: map[string]Entry{}, news: make(chan struct{}), silence: make(chan struct{})}
-	r.srv = r.server(func(e Entry) Entry { return e }, nil)
+	r.srv = r.server(func(e Entry) Entry { return e }, nil, nil)
 	go r.srv.Serve(ln)
 	return r, nil
 }
 
-func (r *Registry) server(change func(Entry) Entry, wrote func(Written)) *http.Server {
+// server answers at one address. f is the front there, nil at the registry's own address.
+func (r *Registry) server(change func(Entry) Entry, wrote func(Written), f *Front) *http.Server {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /registry/instances", func(w http.ResponseWriter, req *http.Request) { r.serve(w, req, change, wrote) })
+	mux.HandleFunc("GET /registry/instances", func(w http.ResponseWriter, req *http.Request) { r.serve(w, req, change, wrote, f) })
 	return &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 }
 
 // Front is a further address of a registry, at which servers are listed with
 // changes, as where each asker sees them under addresses of its own.
-type Front struct{ srv *http.Server }
+type Front struct {
+	registry *Registry
+	srv      *http.Server
+	frozen   atomic.Pointer[frozenList] // nil: it tells what the registry has
+}
+
+// frozenList is the list of a front that learns nothing more.
+type frozenList struct {
+	index   uint64
+	entries []Entry
+}
+
+// Freeze has the front learn nothing more: it goes on answering with the list
+// as it is now, as an agent does that nobody sends anything any more.
+func (f *Front) Freeze() {
+	f.registry.mu.Lock()
+	defer f.registry.mu.Unlock()
+	f.frozen.Store(&frozenList{f.registry.index, f.registry.sorted()})
+}
+
+// Thaw has the front tell what the registry has again.
+func (f *Front) Thaw() { f.frozen.Store(nil) }
 
 // Written is an answer that a front has written in full.
 type Written struct {
@@ -93,7 +115,8 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Front{srv: r.server(change, wrote)}
+	f := &Front{registry: r}
+	f.srv = r.server(change, wrote, f)
 	f.srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, countedKey{}, c) }
 	go f.srv.Serve(countedListener{ln})
 	return f, nil
@@ -151,6 +174,11 @@
 func (r *Registry) Set(entries ...Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.set(entries)
+}
+
+// set is Set for a caller that holds mu.
+func (r *Registry) set(entries []Entry) {
 	r.index++
 	for _, e := range entries {
 		if e.Status == "gone" {
@@ -173,26 +201,55 @@
 	Entries  []Entry `json:"endpoints"`
 }
 
-// since is what has changed after a version; ok is false where nothing has.
-func (r *Registry) since(from uint64, whole bool) (a answer, news chan struct{}, ok bool) {
+// List is the whole list by name, and its version.
+func (r *Registry) List() (index uint64, entries []Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	a.Index = r.index
+	return r.index, r.sorted()
+}
+
+// Reweigh gives every server another weight, all in one version.
+func (r *Registry) Reweigh(weight func(Entry) float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	entries := r.sorted()
+	for i := range entries {
+		entries[i].Weight = weight(entries[i])
+	}
+	r.set(entries)
+}
+
+// sorted is the whole list by name. The caller holds mu.
+func (r *Registry) sorted() []Entry {
+	return slices.SortedFunc(maps.Values(r.entries), func(x, y Entry) int { return cmp.Compare(x.Name, y.Name) })
+}
+
+// since is what has changed after a version, as far as a front knows of it; ok
+// is false where nothing has.
+func (r *Registry) since(from uint64, whole bool, f *Front) (a answer, news chan struct{}, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := frozenList{index: r.index}
+	if f != nil && f.frozen.Load() != nil {
+		known = *f.frozen.Load()
+	} else {
+		known.entries = r.sorted()
+	}
+	a.Index = known.index
 	lost := len(r.changes) == maxChanges && from < r.changes[0].index
-	if whole || lost || from > r.index {
-		a.Snapshot = true
-		a.Entries = slices.SortedFunc(maps.Values(r.entries), func(x, y Entry) int { return cmp.Compare(x.Name, y.Name) })
+	if whole || lost || from > known.index {
+		a.Snapshot, a.Entries = true, slices.Clone(known.entries)
 		return a, nil, true
 	}
 	for _, c := range r.changes {
-		if c.index > from {
+		if c.index > from && c.index <= known.index {
 			a.Entries = append(a.Entries, c.entry)
 		}
 	}
-	return a, r.news, r.index > from
+	return a, r.news, known.index > from
 }
 
-func (r *Registry) serve(w http.ResponseWriter, req *http.Request, change func(Entry) Entry, wrote func(Written)) {
+func (r *Registry) serve(w http.ResponseWriter, req *http.Request, change func(Entry) Entry, wrote func(Written), f *Front) {
 	q := req.URL.Query()
 	from, err := strconv.ParseUint(cmp.Or(q.Get("from"), "0"), 10, 64)
 	hold, err2 := strconv.ParseInt(cmp.Or(q.Get("hold_ms"), "0"), 10, 64)
@@ -203,7 +260,7 @@
 	r.mu.Lock()
 	silence := r.silence
 	r.mu.Unlock()
-	a, news, ok := r.since(from, !q.Has("from"))
+	a, news, ok := r.since(from, !q.Has("from"), f)
 	until := time.NewTimer(min(time.Duration(hold)*time.Millisecond, maxHold))
 	defer until.Stop()
 	for wait := true; !ok && wait; {
@@ -217,7 +274,7 @@
 		case <-req.Context().Done():
 			return
 		}
-		a, news, ok = r.since(from, false)
+		a, news, ok = r.since(from, false, f)
 	}
 	if a.Entries == nil {
 		a.Entries = []Entry{}
