Failing test: interrupted connects to the only server cost it all requests

Change: a test that has the real program's connects fail by a filter of its own system calls, which the test answers.

--- /dev/null
+++ b/cmd/indigotack/connect_test.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// TestInterruptedConnects: connects to the only server that a signal interrupts
+// say nothing about that server. Every request is served, during them and after.
+func TestInterruptedConnects(t *testing.T) {
+	answers, calls := withFailingConnects(t, syscall.EINTR, 3)
+	if calls < 3 {
+		t.Fatalf("%d connects to the server, want 3 and more", calls)
+	}
+	if i := slices.IndexFunc(answers, func(status int) bool { return status != http.StatusOK }); i >= 0 {
+		t.Errorf("request %d of %d is answered %d", i, len(answers), answers[i])
+	}
+}
+
+// withFailingConnects runs the program before one server, connects to which fail
+// so many times, and returns how requests were answered, one each 20 ms for 3 s.
+func withFailingConnects(t *testing.T, failure syscall.Errno, times int) (answers []int, calls int) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Connection", "close") // so that the next request needs a connect
+		io.WriteString(w, "page")
+	}))
+	t.Cleanup(server.Close)
+	agent := httptest.NewServer(newScriptedAgent(map[string]string{"s": server.Listener.Addr().String()}))
+	t.Cleanup(agent.Close)
+	t.Cleanup(agent.CloseClientConnections)
+	listen := freeAddress(t)
+	cmd := program(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","settings":{
+		"membership_mode":"pushed","invariants":{"drain_grace_ns":2000000000},"caps":{"connect_timeout_ns":120000000},
+		"classes":[{"name":"page","effect":"retryable","aim_ns":1000000000,"give_up_ns":2000000000,"importance":1}]}}`,
+		listen, agent.Listener.Addr()))
+	var connects atomic.Int64
+	supervise(t, cmd, func(c call) syscall.Errno {
+		if !c.connectsTo(server.Listener.Addr().String()) || connects.Add(1) > int64(times) {
+			return 0
+		}
+		return failure
+	}, unix.SYS_CONNECT)
+	awaitReady(t, listen)
+	var clients sync.WaitGroup
+	answers = make([]int, 150)
+	for i := range answers {
+		clients.Go(func() { answers[i] = askPage(t, listen, i) })
+		time.Sleep(20 * time.Millisecond)
+	}
+	clients.Wait()
+	return answers, int(connects.Load())
+}
+
+// askPage sends one request on a connection of its own and returns the status of its answer.
+func askPage(t *testing.T, address string, number int) int {
+	req, err := http.NewRequest(http.MethodGet, "http://"+address+"/api/x", nil)
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	req.Close = true
+	req.Header.Set("X-Request-Id", fmt.Sprint("page-", number))
+	req.Header.Set("X-Class", "page")
+	req.Header.Set("X-Deadline", "2")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
