Begin connects in the dialer, so that one that a signal interrupts is made again

Cause: net's connect takes EINTR for a connection that is under way (net/fd_unix.go) and waits for it until connect_timeout; the timeout counted as a failure of the server, and three of them ejected it for up to 8 s. Change: the dialer's control function connects by itself, again after EINTR; package net finds the connection under way or made.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -58,7 +58,7 @@
 	return &discovery{url: "http://" + address + "/registry/instances", times: times, observer: o, listed: listed, failed: failed,
 		ended: make(chan struct{}), names: map[string]bool{},
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1,
-			DialContext: (&net.Dialer{Timeout: times.dial}).DialContext}}}
+			DialContext: (&net.Dialer{Timeout: times.dial, ControlContext: beginConnect}).DialContext}}}
 }
 
 // patience is how long a call may wait for what.
--- a/internal/node/mistakes_faulty.go
+++ b/internal/node/mistakes_faulty.go
@@ -111,8 +111,15 @@
 
 func failConnects(d *net.Dialer) {
 	if part, seed := socketFaults(); part > 0 {
-		d.ControlContext = faultnet.Connects(faultnet.NewRandom(seed+1, part, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENOBUFS,
+		connect := d.ControlContext
+		fails := faultnet.Connects(faultnet.NewRandom(seed+1, part, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENOBUFS,
 			syscall.ENFILE, syscall.EINTR, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ECONNREFUSED))
+		d.ControlContext = func(ctx context.Context, network, address string, raw syscall.RawConn) error {
+			if err := fails(ctx, network, address, raw); err != nil {
+				return err
+			}
+			return connect(ctx, network, address, raw)
+		}
 	}
 }
 
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -27,9 +27,9 @@
 
 // attributes gives the state as attributes of a line of the log.
 func (s nodeState) attributes() []any {
-	answered := "never"
+	var answered any = "never"
 	if s.discoveryAnswered >= 0 {
-		answered = s.discoveryAnswered.Round(time.Millisecond).String()
+		answered = s.discoveryAnswered
 	}
 	return []any{"phase", s.phase, "list_version", s.listVersion, "discovery_answered_ago", answered, "servers", s.servers,
 		"draining", names(s.draining), "open_requests", s.openRequests, "client_connections", s.clientConnections}
