Failing tests: a drain told behind other changes of its server is lost

Cause: follow sorts the entries of an answer by name with slices.SortFunc, which does not keep the order of equal ones from 13 entries on, so that of several changes of one server any may come last.

--- a/internal/rig/soak_test.go
+++ b/internal/rig/soak_test.go
@@ -53,3 +53,13 @@
 		t.Error("nodes that are patient with watches are not caught")
 	}
 }
+
+// TestRestartBehindDrains: nodes that start with an old list hear of all that
+// changed since in one answer, in which servers drain after other changes.
+func TestRestartBehindDrains(t *testing.T) {
+	p, err := LoadPlan(filepath.Join("..", "..", "plans", "fleet", "restart-behind-drains.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	wantSound(t, play(t, p, Options{Program: program(t, "faulty")}))
+}
