Take the last of several changes of one server in a list

Cause: follow sorted an answer's entries by name with a sort that keeps no order, so that of several changes of one server any came last. Change: one entry for each server, the last, before anything else looks at them.

--- a/internal/node/listlog.go
+++ b/internal/node/listlog.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"slices"
+	"strings"
 
 	"indigotack/decide"
 )
@@ -65,6 +66,21 @@
 	}
 }
 
+// lastOfEach keeps the last entry of each server, as an answer may tell several
+// changes of one. It sorts them by name: the numbers of names that share a hash
+// depend on the order, which must not be the list's.
+func lastOfEach(entries []entry) []entry {
+	sorted := slices.Clone(entries)
+	slices.SortStableFunc(sorted, func(a, b entry) int { return strings.Compare(a.Name, b.Name) })
+	kept := sorted[:0]
+	for i, e := range sorted {
+		if last := i == len(sorted)-1 || sorted[i+1].Name != e.Name; last {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
+
 // leftOut gives the known servers that a whole list does not have, or has as gone.
 func leftOut(known map[string]entry, entries []entry) (names []string) {
 	listed := make(map[string]bool, len(entries))
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -408,17 +408,7 @@
 
 // follow takes a list of servers: addresses for the sockets, the rest for the module.
 func (n *owner) follow(entries []entry, version uint64, kind decide.ListKind) {
-	// In one order whatever the list's, as the numbers of names that share a
-	// hash depend on it.
-	slices.SortFunc(entries, func(a, b entry) int {
-		switch {
-		case a.Name < b.Name:
-			return -1
-		case a.Name > b.Name:
-			return 1
-		}
-		return 0
-	})
+	entries = lastOfEach(entries)
 	n.noteList(entries, version, kind)
 	u := decide.ListUpdate{Kind: kind, Version: version}
 	now := n.now()
