Ask for the whole list when discovery's versions go back

Change: such an answer ends the watch, and the next call asks for the whole list. Measured: TestVersionsThatGoBack fails before and passes after; the discovery's tests pass under the race detector.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -33,6 +34,11 @@
 	errSlow = fmt.Errorf("discovery's answer was too slow: %w", context.DeadlineExceeded)
 )
 
+// errRestarted is of an answer with changes whose version is lower than the one
+// that they were asked from: discovery counts anew, and what it has to tell of
+// the versions before stands in its whole list alone.
+var errRestarted = errors.New("discovery's versions have gone back")
+
 // discovery watches the list of servers.
 type discovery struct {
 	url    string
@@ -136,6 +142,10 @@
 		return fmt.Errorf("discovery's list: %w", err)
 	}
 	l.note(d.log)
+	if !l.Snapshot && l.Index < d.index {
+		d.index = 0
+		return errRestarted
+	}
 	if d.shrunk(&l) && !d.asking {
 		d.log.Warn("discovery's list has lost most servers, it is asked once more", "servers", len(l.Entries), "before", len(d.names))
 		watchdog.Stop() // this call has been answered
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -505,3 +505,23 @@
 		t.Errorf("%+v, want the change alone", l)
 	}
 }
+
+// TestVersionsThatGoBack: a discovery that has started anew counts versions from
+// the beginning. What changed before the node's next call stands only in its
+// whole list.
+func TestVersionsThatGoBack(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Query().Get("from") {
+		case "":
+			fmt.Fprintf(w, `{"index":5,"snapshot":true,"endpoints":[%s]}`, entryJSON("s", "127.0.0.1:1", "draining"))
+		case "47":
+			fmt.Fprint(w, `{"index":5,"snapshot":false,"endpoints":[]}`)
+		default:
+			<-r.Context().Done()
+		}
+	}))
+	t.Cleanup(s.Close)
+	if l := wait(t, following(t, s, planLists(agent, 2*time.Second), 47), "a list"); !l.Snapshot || l.Index != 5 || len(l.Entries) != 1 {
+		t.Errorf("after versions went back the node takes %+v, want the whole list", l)
+	}
+}
