--- a/internal/node/list.go
+++ b/internal/node/list.go
@@ -87,11 +87,7 @@
 		if err := d.Decode(&raw); err != nil {
 			return err
 		}
-		var e entry
-		err := json.Unmarshal(raw, &e)
-		if err == nil {
-			err = e.check()
-		}
+		e, err := parseEntry(raw)
 		if err != nil {
 			if l.refused++; len(l.why) < maxRefused {
 				l.why = append(l.why, fmt.Errorf("%s: %w", raw[:min(len(raw), 200)], err))
@@ -123,6 +119,47 @@
 	SinceMS int64   `json:"since_ms"`
 }
 
+// looseEntry is an entry as it may stand in a list: JSON has one kind of number.
+type looseEntry struct {
+	entry
+	Cell    float64 `json:"group"`
+	SinceMS float64 `json:"since_ms"`
+}
+
+// parseEntry reads one entry. One that can't be used as a whole is still good
+// for telling that its server drains or is gone, where it says that.
+func parseEntry(text []byte) (entry, error) {
+	var loose looseEntry
+	err := json.Unmarshal(text, &loose)
+	e := loose.entry
+	e.Cell, e.SinceMS = int(loose.Cell), int64(loose.SinceMS)
+	if err == nil {
+		err = e.check()
+	}
+	if err == nil {
+		return e, nil
+	}
+	var least struct{ Name, Status string }
+	if json.Unmarshal(text, &least) != nil || least.Name == "" {
+		return entry{}, err
+	}
+	if state, known := states[least.Status]; !known || state == decide.Ready {
+		return entry{}, err
+	}
+	return entry{Name: least.Name, Status: least.Status}, nil
+}
+
+// complete gives a draining server's entry that has only its name and status
+// what was known of the server before.
+func (e entry) complete(known map[string]entry) entry {
+	before, found := known[e.Name]
+	if !found || e.Address != "" || states[e.Status] != decide.Draining {
+		return e
+	}
+	before.Status = e.Status
+	return before
+}
+
 var states = map[string]decide.ServerState{"ready": decide.Ready, "draining": decide.Draining, "gone": decide.Gone}
 
 func (e entry) check() error {
--- a/internal/node/listorder_test.go
+++ b/internal/node/listorder_test.go
@@ -47,3 +47,42 @@
 		t.Errorf("%d of %d servers are not as the list's last word about them", wrong, servers)
 	}
 }
+
+// TestMalformedDrainsCount: an entry that can't be used as a whole still tells
+// that its server drains or is gone, which matters more than the rest of it.
+func TestMalformedDrainsCount(t *testing.T) {
+	const ready = `{"name":"s","address":"127.0.0.1:1","zone":"a","type":"m2","status":"ready","weight":1}`
+	for _, drain := range []string{
+		`{"name":"s","status":"draining"}`,
+		`{"name":"s","address":"","status":"draining"}`,
+		`{"name":"s","address":"127.0.0.1:1","status":"draining","weight":-1}`,
+		`{"name":"s","address":"127.0.0.1:1","status":"draining","since_ms":1.7e12}`,
+		`{"name":"s","address":"127.0.0.1:1","status":"draining","since_ms":12.5}`,
+		`{"name":"s","address":"127.0.0.1:1","status":"draining","group":"x"}`,
+		`{"name":"s","address":7,"status":"gone"}`,
+	} {
+		n := New(testConfig("127.0.0.1:1"), quiet)
+		take := func(text string, kind decide.ListKind) {
+			var l list
+			if err := l.UnmarshalJSON([]byte(`{"index":1,"endpoints":[` + text + `]}`)); err != nil {
+				t.Fatal(err)
+			}
+			n.follow(l.Entries, l.Index, kind)
+		}
+		take(ready, decide.ListCached)
+		take(drain, decide.ListChanges)
+		if b := n.backends.backends[n.ids.of("s")]; b != nil {
+			t.Errorf("after %s the server is still sent requests", drain)
+		}
+	}
+}
+
+// TestNumbersOfAnEntry: JSON does not tell whole numbers from others, and a
+// server must not be missed because of how its discovery writes them.
+func TestNumbersOfAnEntry(t *testing.T) {
+	e, err := parseEntry([]byte(`{"name":"s","address":"127.0.0.1:1","zone":"a","type":"m2","group":3.0,"status":"ready","weight":1,"since_ms":1.75e12}`))
+	want := entry{Name: "s", Address: "127.0.0.1:1", Zone: "a", Kind: "m2", Cell: 3, Status: "ready", Weight: 1, SinceMS: 1_750_000_000_000}
+	if err != nil || e != want {
+		t.Errorf("%+v, %v, want %+v", e, err, want)
+	}
+}
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -409,6 +409,9 @@
 // follow takes a list of servers: addresses for the sockets, the rest for the module.
 func (n *owner) follow(entries []entry, version uint64, kind decide.ListKind) {
 	entries = lastOfEach(entries)
+	for i, e := range entries {
+		entries[i] = e.complete(n.entries)
+	}
 	n.noteList(entries, version, kind)
 	u := decide.ListUpdate{Kind: kind, Version: version}
 	now := n.now()
