Read a configuration again until it can be taken up

Change: the file is read again each second for as long as it takes, each 0.1 s at first. Measured: TestReloadOfAFileThatIsBeingWritten with a file that is missing for 4 s fails before and passes after.

--- a/cmd/indigotack/main_test.go
+++ b/cmd/indigotack/main_test.go
@@ -397,7 +397,7 @@
 // TestReloadOfAFileThatIsBeingWritten: SIGHUP comes while the new configuration
 // is half written, or not there for a moment. It is taken up when it is whole.
 func TestReloadOfAFileThatIsBeingWritten(t *testing.T) {
-	for _, how := range []string{"half written", "missing"} {
+	for how, since := range map[string]time.Duration{"half written": 300 * time.Millisecond, "missing": 300 * time.Millisecond, "missing for long": 4 * time.Second} {
 		t.Run(how, func(t *testing.T) {
 			t.Parallel()
 			listen, moved := freeAddress(t), freeAddress(t)
@@ -409,7 +409,7 @@
 			path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "GW_CONFIG=")
 			next := strings.Replace(config, fmt.Sprintf(`"discovery":%q`, listen), fmt.Sprintf(`"discovery":%q`, moved), 1)
 			var err error
-			if how == "missing" {
+			if how != "half written" {
 				err = os.Remove(path)
 			} else {
 				err = os.WriteFile(path, []byte(next[:len(next)/2]), 0o600)
@@ -420,7 +420,7 @@
 			if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
 				t.Fatal(err)
 			}
-			time.Sleep(300 * time.Millisecond)
+			time.Sleep(since)
 			if err := os.WriteFile(path, []byte(next), 0o600); err != nil {
 				t.Fatal(err)
 			}
--- a/cmd/indigotack/reload.go
+++ b/cmd/indigotack/reload.go
@@ -7,11 +7,13 @@
 	"time"
 )
 
-// A file that can't be taken up at a signal may be half written, so it is read
-// again for a while.
+// A file that can't be taken up at a signal may be half written, or out of reach
+// for a while. It is read again until it can be, as the signal was an order:
+// often at first, and then each second, which a file that stays wrong costs little.
 const (
-	rereadAfter = 100 * time.Millisecond
-	rereadFor   = 3 * time.Second
+	rereadSoon  = 100 * time.Millisecond
+	rereadLater = time.Second
+	soon        = 3 * time.Second // after the last signal
 )
 
 // reloadOn takes up a file at each signal, until ctx ends. take reads it and
@@ -27,24 +29,26 @@
 	}
 }
 
-// reload takes up the file, now or within rereadFor. Another signal meanwhile
-// gives it that time anew.
+// reload takes up the file, now or as soon as it can be.
 func reload(ctx context.Context, signals <-chan os.Signal, log *slog.Logger, take func() error) {
 	err := take()
 	if err == nil {
 		return
 	}
-	log.Error("not reloaded, what was in force stays so; the file is read again for a while", "err", err, "for", rereadFor)
-	ticker := time.NewTicker(rereadAfter)
-	defer ticker.Stop()
-	for until := time.Now().Add(rereadFor); time.Now().Before(until); {
+	log.Error("not reloaded, what was in force stays so; the file is read again until it can be taken up", "err", err)
+	for signaled := time.Now(); ; {
+		wait := rereadSoon
+		if time.Since(signaled) > soon {
+			wait = rereadLater
+		}
 		select {
-		case <-ticker.C:
+		case <-time.After(wait):
 			if take() == nil {
+				log.Info("the file has been taken up after all")
 				return
 			}
 		case <-signals:
-			until = time.Now().Add(rereadFor)
+			signaled = time.Now()
 		case <-ctx.Done():
 			return
 		}
