Try the only servers there are each second while connects to them fail

Change: with all servers ejected, one whose last failure was a connect that failed is tried each second: such an attempt has surely not run.

--- a/cmd/indigotack/connect_test.go
+++ b/cmd/indigotack/connect_test.go
@@ -15,10 +15,13 @@
 	"golang.org/x/sys/unix"
 )
 
+// pageEvery is the time between the requests of these tests.
+const pageEvery = 20 * time.Millisecond
+
 // TestInterruptedConnects: connects to the only server that a signal interrupts
 // say nothing about that server. Every request is served, during them and after.
 func TestInterruptedConnects(t *testing.T) {
-	answers, calls := withFailingConnects(t, syscall.EINTR, 3)
+	answers, calls := withFailingConnects(t, syscall.EINTR, 3, 3*time.Second)
 	if calls < 3 {
 		t.Fatalf("%d connects to the server, want 3 and more", calls)
 	}
@@ -27,9 +30,25 @@
 	}
 }
 
+// TestRefusedConnects: a refused connect says something about its server, but
+// the only one there is tried again each second.
+func TestRefusedConnects(t *testing.T) {
+	answers, calls := withFailingConnects(t, syscall.ECONNREFUSED, 5, 6*time.Second)
+	if calls < 5 {
+		t.Fatalf("%d connects to the server, want 5 and more", calls)
+	}
+	// Two at once, a probe after 0.75 s at most, three more a second apart, and some time to spare.
+	const most = 4200 * time.Millisecond
+	for i, status := range answers {
+		if at := time.Duration(i) * pageEvery; status != http.StatusOK && at >= most {
+			t.Fatalf("request %d, %v after the first, is answered %d", i, at, status)
+		}
+	}
+}
+
 // withFailingConnects runs the program before one server, connects to which fail
-// so many times, and returns how requests were answered, one each 20 ms for 3 s.
-func withFailingConnects(t *testing.T, failure syscall.Errno, times int) (answers []int, calls int) {
+// so many times, and returns how requests were answered, one each pageEvery for so long.
+func withFailingConnects(t *testing.T, failure syscall.Errno, times int, long time.Duration) (answers []int, calls int) {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Connection", "close") // so that the next request needs a connect
@@ -53,10 +72,10 @@
 	}, unix.SYS_CONNECT)
 	awaitReady(t, listen)
 	var clients sync.WaitGroup
-	answers = make([]int, 150)
+	answers = make([]int, long/pageEvery)
 	for i := range answers {
 		clients.Go(func() { answers[i] = askPage(t, listen, i) })
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(pageEvery)
 	}
 	clients.Wait()
 	return answers, int(connects.Load())
--- a/decide/outlier.go
+++ b/decide/outlier.go
@@ -20,6 +20,7 @@
 	muteFactor       = 4.0                    // multiple of the expected latency beyond which more tells no more
 	firstProbeWait   = 500 * time.Millisecond // s; wait before an ejected server's first probe request; doubles
 	longestProbeWait = 4 * time.Second        // s; the longest such wait, well under what troubles last
+	lastResortWait   = time.Second            // s; the same while all are ejected, where connects fail
 )
 
 // recordOutcome takes the outcome of an attempt. A failure counts as a slow answer: failing fast must not
@@ -64,7 +65,7 @@
 }
 
 func (m *Module) recordFailure(s *server, code OutcomeCode, word bool) {
-	s.unreachable = false
+	s.unreachable, s.unconnected = false, code == ConnectFailed
 	switch {
 	case word:
 		s.failures += explicitFailure
@@ -81,7 +82,8 @@
 
 func (m *Module) eject(s *server, why string) {
 	if !s.ejected {
-		s.ejected, s.nextProbeWait, s.nextProbeAt = true, firstProbeWait, m.now+m.jitter(firstProbeWait)
+		s.ejected, s.nextProbeWait = true, firstProbeWait
+		m.scheduleProbe(s)
 		if m.drop(s); !s.enlisted {
 			s.enlisted, m.ejectedServers = true, append(m.ejectedServers, s)
 		}
@@ -89,6 +91,12 @@
 	}
 }
 
+// scheduleProbe sets when an ejected server's next probe request is due, and when it is as the last resort.
+func (m *Module) scheduleProbe(s *server) {
+	wait := m.jitter(s.nextProbeWait)
+	s.nextProbeAt, s.lastResortAt = m.now+wait, m.now+min(wait, lastResortWait)
+}
+
 // readmit leaves the server among those ejected until the next round of checks.
 func (m *Module) readmit(s *server) {
 	s.ejected, s.unreachable = false, false
@@ -112,18 +120,28 @@
 	first := int(m.random() * float64(len(m.ejectedServers))) // nodes must not all begin with the same
 	for i := range m.ejectedServers {
 		s := m.ejectedServers[(first+i)%len(m.ejectedServers)]
-		due := s.ejected && (m.now >= s.nextProbeAt || last && s.unreachable) && (last || r.class.Effect != Unsafe)
-		if due && m.send(r, s, wait) {
+		if m.probeDue(s, last) && (last || r.class.Effect != Unsafe) && m.send(r, s, wait) {
 			if !s.unreachable {
 				s.nextProbeWait = min(2*s.nextProbeWait, longestProbeWait)
 			}
-			r.trial, s.nextProbeAt, m.probeBudget = true, m.now+m.jitter(s.nextProbeWait), max(0, m.probeBudget-1)
+			r.trial, m.probeBudget = true, max(0, m.probeBudget-1)
+			m.scheduleProbe(s)
 			return true
 		}
 	}
 	return false
 }
 
+// probeDue tells whether an ejected server may be sent a probe request now. One to which connects fail is
+// tried each second where there is no other: such an attempt has surely not run, and does no harm.
+func (m *Module) probeDue(s *server, last bool) bool {
+	if !s.ejected {
+		return false
+	}
+	lastResort := s.unreachable || s.unconnected && m.now >= s.lastResortAt
+	return m.now >= s.nextProbeAt || last && lastResort
+}
+
 // well tells whether some server is not ejected.
 func (g *group) well() bool {
 	return g.on && len(g.near) > 0 ||
--- a/decide/state.go
+++ b/decide/state.go
@@ -28,25 +28,26 @@
 	n, high                  float64 // own attempts in flight or, after a look, all that it holds; H
 	dither                   float64 // in [0,1), moves on each period: H is rounded by it
 	// s, smoothed latency of a mean request over m.mean; own answers each second, smoothed
-	excess, rate           float64
-	latencyAt, rateAt      Time
-	since, reportAt        Time    // first listed; last report
-	failures               float64 // failures since the last success
-	unreached              int     // attempts since the last success that the network kept from it
-	unreachable            bool    // ejected for that reason alone
-	unanswered             int     // sends since the last answer
-	muteSince              Time    // the first of those sends
-	ejected, cold          bool
-	watched, enlisted      bool    // among those that owe answers; among those ejected
-	listed                 bool    // on the ring
-	order                  uint64  // its place on the ring
-	fill                   float64 // where its count stands between H, 0, and R, 1
-	nextProbeAt, coldSince Time
-	nextProbeWait          time.Duration
-	tokens                 float64 // sends that its budget allows while cold
-	tokensAt               Time
-	quietUntil             Time    // no log line about it until then
-	places                 []place // in the groups' reach, by their numbers
+	excess, rate                         float64
+	latencyAt, rateAt                    Time
+	since, reportAt                      Time    // first listed; last report
+	failures                             float64 // failures since the last success
+	unreached                            int     // attempts since the last success that the network kept from it
+	unreachable                          bool    // ejected for that reason alone
+	unconnected                          bool    // its last failure was a connect that failed
+	unanswered                           int     // sends since the last answer
+	muteSince                            Time    // the first of those sends
+	ejected, cold                        bool
+	watched, enlisted                    bool    // among those that owe answers; among those ejected
+	listed                               bool    // on the ring
+	order                                uint64  // its place on the ring
+	fill                                 float64 // where its count stands between H, 0, and R, 1
+	nextProbeAt, lastResortAt, coldSince Time
+	nextProbeWait                        time.Duration
+	tokens                               float64 // sends that its budget allows while cold
+	tokensAt                             Time
+	quietUntil                           Time    // no log line about it until then
+	places                               []place // in the groups' reach, by their numbers
 }
 
 // group holds the classes of one placement: thresholds and shedding are judged over the servers open to it.
--- a/decide/unreachable_test.go
+++ b/decide/unreachable_test.go
@@ -69,3 +69,20 @@
 		t.Errorf("after a failure of its own: suspect %v, out of reach alone %v", s.ejected, s.unreachable)
 	}
 }
+
+// TestLastResortIsTriedEachSecond: with every server ejected, connects to one of
+// them are made each second, however long they have failed: there is nobody else
+// to send to, and a refused connect does no harm.
+func TestLastResortIsTriedEachSecond(t *testing.T) {
+	m := oneServer(Safe)
+	at, last, worst := Time(time.Hour), Time(time.Hour), time.Duration(0)
+	for i := range 1500 {
+		at += 20 * time.Millisecond
+		if fails(m, at, i, ConnectFailed) == 1 {
+			worst, last = max(worst, at-last), at
+		}
+	}
+	if worst = max(worst, at-last); worst > 1100*time.Millisecond {
+		t.Errorf("the only server is not tried for %v", worst)
+	}
+}
