Do not hold the rig's own lateness against a node whose attempts seem to overlap

The node had closed the first 2 ms before it sent the second, by its log; the rig noted that it woke 59 ms late right then, beside a build on the same machine. Change: the end of an attempt counts from as much earlier as the rig was late, as answers and drains are judged already; an overlap beyond that is found as before.

--- a/internal/rig/check_requests.go
+++ b/internal/rig/check_requests.go
@@ -128,7 +128,8 @@
 			lastRun[e.ID] = when
 			l.Ran(e.ID, h.Plan.zone(e.Server), 0, at(when))
 		case Ended:
-			over(key{e.Server, e.N}, e.At)
+			// The rig may have heard of a closed connection as late as it woke then.
+			over(key{e.Server, e.N}, e.At-int64(h.lateness(e.At, e.At)))
 		case Ordered, Down:
 			if e.Server != "" && (e.What == Down || e.Text == "killed") {
 				for _, k := range slices.SortedFunc(maps.Keys(out), func(a, b key) int { return cmp.Or(strings.Compare(a.server, b.server), cmp.Compare(a.n, b.n)) }) {
