--- a/internal/ctl/rehearse.go
+++ b/internal/ctl/rehearse.go
@@ -149,71 +149,85 @@
 	return nil
 }
 
-// soak plays soaks of one seed after another, and tells all that each broke.
-func (c *rehearseCommand) soak(ctx context.Context, o *cli.Output, program string) error {
+// seedsPlayed is plans that are drawn from one seed after another.
+type seedsPlayed struct {
+	what  string // they are, in the plural
+	count int
+	draw  func(seed uint64) *rig.Plan
+	dir   func(*rig.Plan) (string, error) // where a play keeps what happens; "": nowhere
+	told  func(*rig.Plan, *rig.Report) error
+}
+
+// playSeeds plays plans one after another, and tells how many were not sound.
+func (c *rehearseCommand) playSeeds(ctx context.Context, o *cli.Output, program string, s seedsPlayed) error {
 	began, played, failed, untimed := time.Now(), 0, 0, 0
-	for i := range c.Soak {
-		plan := rig.Soak(max(1, c.Seed) + uint64(i))
-		options := rig.Options{Program: program}
-		if c.Keep != "" {
-			options.Dir = filepath.Join(c.Keep, plan.Name)
-			if err := os.MkdirAll(options.Dir, 0o755); err != nil {
-				return err
-			}
-		}
-		report, err := rig.Run(ctx, plan, options)
+	for i := range s.count {
+		plan := s.draw(max(1, c.Seed) + uint64(i))
+		dir, err := s.dir(plan)
+		if err != nil {
+			return err
+		}
+		report, err := rig.Run(ctx, plan, rig.Options{Program: program, Dir: dir})
 		if errors.Is(err, context.Canceled) {
-			fmt.Fprintln(o.Out, "ended early")
+			fmt.Fprintf(o.Out, "ended early, after %d of %d %s\n", i, s.count, s.what)
 			break
 		}
 		if err != nil {
 			return fmt.Errorf("%s: %w", plan.Name, err)
 		}
 		played++
-		asked, good := report.Total()
-		fmt.Fprintf(o.Out, "%s: %d nodes, %d servers, %d faults, %d asked, %.1f%% in aim, %d violations\n", plan.Name, plan.Nodes, plan.Servers.Count,
-			len(plan.Faults), asked, 100*float64(good)/float64(max(1, asked)), len(report.Violations))
 		if report.Untimed {
 			untimed++
 		}
 		if !report.Sound() {
 			failed++
-			for _, v := range report.Violations[:min(len(report.Violations), 5)] {
-				fmt.Fprintf(o.Out, "  %6.2f s %s: %s\n", v.At.Seconds(), v.Checker, v.Text)
-			}
-		} else if c.Keep != "" {
-			if err := os.RemoveAll(options.Dir); err != nil {
-				return err
-			}
+		}
+		if err := s.told(plan, report); err != nil {
+			return err
 		}
 	}
-	fmt.Fprintf(o.Out, "%d soaks, %d failed, %d not judged by time, %.1f minutes\n", played, failed, untimed, time.Since(began).Minutes())
+	fmt.Fprintf(o.Out, "%d %s, %d failed, %d not judged by time, %.1f minutes\n", played, s.what, failed, untimed, time.Since(began).Minutes())
 	if failed > 0 {
 		return errMistaken
 	}
 	return nil
 }
 
-// random plays plans drawn from one seed after another.
-func (c *rehearseCommand) random(ctx context.Context, o *cli.Output, program string) error {
-	began, failed, untimed := time.Now(), 0, 0
-	for i := range c.Random {
-		plan := rig.Random(max(1, c.Seed) + uint64(i))
-		report, err := rig.Run(ctx, plan, rig.Options{Program: program})
-		if errors.Is(err, context.Canceled) {
-			fmt.Fprintf(o.Out, "ended early, after %d of %d plans\n", i, c.Random)
-			break
+// soak plays soaks, and tells all that each broke. What happened in those that
+// are not sound is kept.
+func (c *rehearseCommand) soak(ctx context.Context, o *cli.Output, program string) error {
+	dir := func(plan *rig.Plan) (string, error) {
+		if c.Keep == "" {
+			return "", nil
 		}
-		if err != nil {
-			return fmt.Errorf("%s: %w", plan.Name, err)
+		path := filepath.Join(c.Keep, plan.Name)
+		return path, os.MkdirAll(path, 0o755)
+	}
+	told := func(plan *rig.Plan, report *rig.Report) error {
+		asked, good := report.Total()
+		fmt.Fprintf(o.Out, "%s: %d nodes, %d servers, %d faults, %d asked, %.1f%% in aim, %d violations\n", plan.Name, plan.Nodes, plan.Servers.Count,
+			len(plan.Faults), asked, 100*float64(good)/float64(max(1, asked)), len(report.Violations))
+		for _, v := range report.Violations[:min(len(report.Violations), violationsTold)] {
+			fmt.Fprintf(o.Out, "  %6.2f s %s: %s\n", v.At.Seconds(), v.Checker, v.Text)
 		}
-		if report.Untimed {
-			untimed++
+		if c.Keep == "" || !report.Sound() {
+			return nil
 		}
+		return os.RemoveAll(filepath.Join(c.Keep, plan.Name))
+	}
+	return c.playSeeds(ctx, o, program, seedsPlayed{what: "soaks", count: c.Soak, draw: rig.Soak, dir: dir, told: told})
+}
+
+// violationsTold is how many violations of a soak are told one by one.
+const violationsTold = 5
+
+// random plays random plans. One that is not sound is shrunk, and kept as a plan.
+func (c *rehearseCommand) random(ctx context.Context, o *cli.Output, program string) error {
+	nowhere := func(*rig.Plan) (string, error) { return "", nil }
+	told := func(plan *rig.Plan, report *rig.Report) error {
 		if report.Sound() {
-			continue
+			return nil
 		}
-		failed++
 		v := report.Violations[0]
 		fmt.Fprintf(o.Out, "%s: %s: %s\n", plan.Name, v.Checker, v.Text)
 		small, played := rig.Shrink(ctx, plan, c.Tries, func(p *rig.Plan) bool {
@@ -221,17 +235,15 @@
 			return err == nil && r.Broke(v.Checker)
 		})
 		fmt.Fprintf(o.Out, "  %d faults of %d left after %d plays\n", len(small.Faults), len(plan.Faults), played)
-		if c.Keep != "" {
-			path := filepath.Join(c.Keep, plan.Name+".toml")
-			if err := cli.WriteTo(path, func(w io.Writer) error { _, err := io.WriteString(w, small.Format()); return err }); err != nil {
-				return err
-			}
-			fmt.Fprintln(o.Out, "  kept as", path)
+		if c.Keep == "" {
+			return nil
 		}
+		path := filepath.Join(c.Keep, plan.Name+".toml")
+		if err := cli.WriteTo(path, func(w io.Writer) error { _, err := io.WriteString(w, small.Format()); return err }); err != nil {
+			return err
+		}
+		fmt.Fprintln(o.Out, "  kept as", path)
+		return nil
 	}
-	fmt.Fprintf(o.Out, "%d plans, %d failed, %d not judged by time, %.1f minutes\n", c.Random, failed, untimed, time.Since(began).Minutes())
-	if failed > 0 {
-		return errMistaken
-	}
-	return nil
+	return c.playSeeds(ctx, o, program, seedsPlayed{what: "plans", count: c.Random, draw: rig.Random, dir: nowhere, told: told})
 }
--- a/internal/lifecycle/violations.go
+++ b/internal/lifecycle/violations.go
@@ -8,13 +8,17 @@
 
 // The violations that a node can see by itself.
 const (
-	AnsweredLate       Violation = "answered_late"       // half a second after its client's time or later
-	ClosedUnanswered   Violation = "closed_unanswered"   // a request was read, and its connection closed without an answer
-	SentToRemoved      Violation = "sent_to_removed"     // after the grace for draining and removed endpoints
-	SentAfterDeadline  Violation = "sent_after_deadline" // the first byte left after the request's time
-	EndedWithRequests  Violation = "ended_with_requests" // a node has ended, and requests were still open
-	slackOfLateAnswers           = 500 * time.Millisecond
-	slackOfSends                 = 50 * time.Millisecond
+	AnsweredLate      Violation = "answered_late"       // half a second after its client's time or later
+	ClosedUnanswered  Violation = "closed_unanswered"   // a request was read, and its connection closed without an answer
+	SentToRemoved     Violation = "sent_to_removed"     // after the grace for draining and removed endpoints
+	SentAfterDeadline Violation = "sent_after_deadline" // the first byte left after the request's time
+	EndedWithRequests Violation = "ended_with_requests" // a node has ended, and requests were still open
+)
+
+// How late an answer or a send may be before it counts as a violation.
+const (
+	slackOfLateAnswers = 500 * time.Millisecond
+	slackOfSends       = 50 * time.Millisecond
 )
 
 // CheckAnswer tells whether an answer whose last byte was written at a time has
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -64,8 +64,7 @@
 type sent struct {
 	cancel context.CancelFunc
 	at     time.Time
-	never  bool // it has surely not run
-	code   decide.OutcomeCode
+	code   decide.OutcomeCode // how it ended; that of an answer while it is out, as it may run
 }
 
 // answer is a final answer to a client.
@@ -342,7 +341,7 @@
 // deny has the module know that an attempt was not sent, as it may not be.
 func (n *owner) deny(r *request, number int, server decide.ServerID, denial lifecycle.Denial) {
 	n.note(slog.LevelInfo, "attempt denied", eventDenial, string(denial), "id", r.id, "attempt", number, "server", n.ids.byID[server])
-	r.attempts[number].never, r.attempts[number].code = true, decide.Superseded
+	r.attempts[number].code = decide.Superseded
 	n.queue = append(n.queue, decide.AttemptEnded{ID: r.id, Attempt: number, Server: server, Over: r.done, Code: decide.Superseded})
 }
 
@@ -355,7 +354,7 @@
 // firstThatMayRun is the first attempt that may have run, in the order of
 // sending; -1 if none may.
 func (r *request) firstThatMayRun() int {
-	return slices.IndexFunc(r.attempts, func(a sent) bool { return !a.never })
+	return slices.IndexFunc(r.attempts, func(a sent) bool { return !a.code.NeverRan() })
 }
 
 // repeatBy is the moment from which the request may not be sent any more, as
@@ -380,7 +379,7 @@
 
 func (n *owner) attemptEnded(r *request, number int, server decide.ServerID, took time.Duration, res result) {
 	r.running--
-	r.attempts[number].never, r.attempts[number].code = res.code.NeverRan(), res.code
+	r.attempts[number].code = res.code
 	n.noteAttempt(r, number, server, took, res)
 	served := answer{status: res.status, served: true, header: res.header, body: res.body}
 	switch {
