Rig: have nodes' system calls fail below the program's libraries

Cause: the rig and the tests had calls fail above package net, where EINTR of connect is mended by a retry that the real error never reaches; what operations have and the rig had not. Change: internal/callfault starts a program under a filter of its own system calls, which its parent answers; fleet.failing_calls has a part of connect, accept4 and socket fail so; soaks draw it. The test of interrupted connects uses the same.

--- a/cmd/indigotack/connect_test.go
+++ b/cmd/indigotack/connect_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os/exec"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"indigotack/internal/callfault"
 )
 
 // pageEvery is the time between the requests of these tests.
@@ -64,8 +67,8 @@
 		"classes":[{"name":"page","effect":"retryable","aim_ns":1000000000,"give_up_ns":2000000000,"importance":1}]}}`,
 		listen, agent.Listener.Addr()))
 	var connects atomic.Int64
-	supervise(t, cmd, func(c call) syscall.Errno {
-		if !c.connectsTo(server.Listener.Addr().String()) || connects.Add(1) > int64(times) {
+	supervise(t, cmd, func(c callfault.Call) syscall.Errno {
+		if c.Destination().String() != server.Listener.Addr().String() || connects.Add(1) > int64(times) {
 			return 0
 		}
 		return failure
@@ -81,6 +84,27 @@
 	return answers, int(connects.Load())
 }
 
+// supervise starts a program of which some system calls fail.
+func supervise(t *testing.T, cmd *exec.Cmd, fail func(callfault.Call) syscall.Errno, numbers ...int) {
+	t.Helper()
+	s, err := callfault.New(cmd, numbers...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	start(t, cmd)
+	var serving sync.WaitGroup
+	serving.Go(func() {
+		if err := s.Serve(fail); err != nil {
+			t.Error(err)
+		}
+	})
+	t.Cleanup(func() {
+		cmd.Process.Kill()
+		cmd.Wait()
+		serving.Wait()
+	})
+}
+
 // askPage sends one request on a connection of its own and returns the status of its answer.
 func askPage(t *testing.T, address string, number int) int {
 	req, err := http.NewRequest(http.MethodGet, "http://"+address+"/api/x", nil)
--- a/cmd/indigotack/main_test.go
+++ b/cmd/indigotack/main_test.go
@@ -12,28 +12,19 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"indigotack/internal/callfault"
 )
 
 // TestMain runs the program itself where a test has started it anew.
 func TestMain(m *testing.M) {
-	if list := os.Getenv(supervisedVariable); list != "" {
-		var numbers []int
-		for number := range strings.SplitSeq(list, ",") {
-			n, err := strconv.Atoi(number)
-			if err != nil {
-				panic(err)
-			}
-			numbers = append(numbers, n)
-		}
-		panic(beSupervised(numbers))
-	}
+	callfault.Role()
 	if os.Getenv("INDIGOTACK_AS_PROGRAM") == "1" {
 		main()
 		return
--- a/internal/rig/node.go
+++ b/internal/rig/node.go
@@ -84,7 +84,12 @@
 	if f.extra != nil {
 		cmd.Env = append(cmd.Env, f.extra(n.name)...)
 	}
+	supervised, err := f.failCalls(cmd, n.i)
+	if err != nil {
+		return err
+	}
 	run, err := f.starter.launch(cmd, false, nil, n.logged, n.ended)
+	go supervised() // which ends with the process, or at once without one
 	if err != nil {
 		return err
 	}
@@ -148,7 +153,7 @@
 // reload tells the node to read its file again. No program can catch a signal
 // that comes before it runs.
 func (n *node) reload() {
-	pause(time.Until(n.startedAt().Add(catchTime)), n.of.ctx.Done())
+	pause(time.Until(n.startedAt().Add(n.of.catchTime())), n.of.ctx.Done())
 	n.signal(syscall.SIGHUP)
 }
 
--- a/internal/rig/plan.go
+++ b/internal/rig/plan.go
@@ -50,6 +50,7 @@
 	Platform bool          // nodes run as on a platform, by settings and with a local agent for the list
 	Sockets  float64       // part of the nodes' accepts and connects that fail; wants a program built for that
 	Weights  time.Duration // every so often all servers are listed with new weights, in a version of their own; 0: never
+	Calls    float64       // part of the nodes' system calls connect, accept and socket that fail, by the kernel's word
 	Idle     time.Duration // nodes keep connections to servers so long, less a quarter
 }
 
--- a/internal/rig/planformat.go
+++ b/internal/rig/planformat.go
@@ -32,6 +32,9 @@
 	if p.Sockets > 0 {
 		line("socket_faults = %v", p.Sockets)
 	}
+	if p.Calls > 0 {
+		line("failing_calls = %v", p.Calls)
+	}
 	if len(p.Programs) > 0 {
 		line("programs = %s", list(p.Programs))
 	}
--- a/internal/rig/planread.go
+++ b/internal/rig/planread.go
@@ -70,6 +70,7 @@
 	}
 	p.Sockets = s.Float("socket_faults", 0, 0, 0.5)
 	p.Weights = s.Duration("weights", 0, 50*time.Millisecond, time.Hour)
+	p.Calls = s.Float("failing_calls", 0, 0, 0.5)
 	p.Idle = s.Duration("idle", p.Idle, 100*time.Millisecond, time.Hour)
 	for _, one := range s.Strings("programs") {
 		if !filepath.IsAbs(one) {
--- a/internal/rig/server.go
+++ b/internal/rig/server.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"indigotack/internal/callfault"
 	"indigotack/internal/standin"
 )
 
@@ -24,6 +25,7 @@
 // Role runs what the program was started for, if the rig started it, and tells
 // whether it did. A program that plays plans calls it first of all.
 func Role() bool {
+	callfault.Role()
 	var err error
 	switch role := os.Getenv(roleVariable); role {
 	case "":
--- a/internal/rig/soak.go
+++ b/internal/rig/soak.go
@@ -40,6 +40,9 @@
 	if rng.IntN(2) == 0 {
 		p.Sockets = []float64{0.005, 0.02, 0.05}[rng.IntN(3)]
 	}
+	if rng.IntN(2) == 0 {
+		p.Calls = []float64{0.005, 0.02, 0.05}[rng.IntN(3)]
+	}
 	if rng.IntN(4) > 0 {
 		p.Weights = tenths(rng, 2, 13)
 	}
