--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -39,12 +39,19 @@
 // has ended, or does not get to it within stateTime.
 func (n *Node) state() (s nodeState, ok bool) {
 	told := make(chan nodeState, 1)
-	go n.post(func() { told <- n.stateOnLoop() })
+	overdue := time.After(stateTime)
+	select {
+	case n.events <- func() { told <- n.stateOnLoop() }:
+	case <-n.ended:
+		return s, false
+	case <-overdue:
+		return s, false
+	}
 	select {
 	case s = <-told:
 		return s, true
 	case <-n.ended:
-	case <-time.After(stateTime):
+	case <-overdue:
 	}
 	return s, false
 }
