Failing test: a node that stood still sends to servers that began to drain meanwhile

Cause: what a local agent has counts as known to the node, whether or not the node runs; after a stand it sends what has come before it reads the list.

--- a/internal/rig/check_servers.go
+++ b/internal/rig/check_servers.go
@@ -53,13 +53,14 @@
 	return since
 }
 
-// runsSince is when a platform's node began to run as it does at a time, after a
-// stop or standing still; 0: it has run from the beginning.
+// runsSince is when the process began that a platform's node is at a time; 0: at
+// the beginning. One that stood still is the same process, and what its agent has
+// got meanwhile counts as known to it.
 func (h *History) runsSince(node string, at int64) (since int64) {
 	if !h.Plan.Platform {
 		return 0
 	}
-	for _, s := range h.away[node] {
+	for _, s := range h.restarts(node) {
 		if s.to <= at {
 			since = max(since, s.to)
 		}
@@ -67,6 +68,11 @@
 	return since
 }
 
+// restarts are the times in which a node was away because it did not run.
+func (h *History) restarts(node string) []span {
+	return slices.DeleteFunc(slices.Clone(h.away[node]), func(s span) bool { return slices.Contains(h.stands[node], s) })
+}
+
 // movedTime is within which what a node's agent has at a new address counts as
 // known to the node, after it was told to follow it there.
 const movedTime = 4 * time.Second
@@ -84,7 +90,7 @@
 		return 0
 	}
 	since = max(since, h.runsSince(node, at))
-	out := slices.Concat(h.wrong[[2]string{node, Discovery}], h.torn, h.away[node], h.moves[node])
+	out := slices.Concat(h.wrong[[2]string{node, Discovery}], h.torn, h.restarts(node), h.moves[node])
 	for moved := true; moved; {
 		moved = false
 		for _, s := range out {
--- a/internal/rig/soak_test.go
+++ b/internal/rig/soak_test.go
@@ -56,8 +56,16 @@
 
 // TestRestartBehindDrains: nodes that start with an old list hear of all that
 // changed since in one answer, in which servers drain after other changes.
-func TestRestartBehindDrains(t *testing.T) {
-	p, err := LoadPlan(filepath.Join("..", "..", "plans", "fleet", "restart-behind-drains.toml"))
+func TestRestartBehindDrains(t *testing.T) { wantSoundFile(t, "restart-behind-drains.toml") }
+
+// TestStallBehindDrains: nodes stand still while servers drain, for longer than
+// the grace, and wake among requests.
+func TestStallBehindDrains(t *testing.T) { wantSoundFile(t, "stall-behind-drains.toml") }
+
+// wantSoundFile plays a ready plan.
+func wantSoundFile(t *testing.T, name string) {
+	t.Helper()
+	p, err := LoadPlan(filepath.Join("..", "..", "plans", "fleet", name))
 	if err != nil {
 		t.Fatal(err)
 	}
