Have the list confirmed before anything is sent after the process stood still

Cause: a process that stands still does not see that time has passed. After it requests were sent by the list from before, while what its agent had got meanwhile counted as known. Change: a guard looks whether the process has run within a quarter of the grace. After a stand it ends the watch, asks anew at once, and holds sends up until that call has ended, 0.3 s at most. Tests of internal/node pass under the race detector.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -56,8 +56,9 @@
 	grace    time.Duration // within which sends to removed servers must have ended
 	maxIdle  time.Duration
 	rest     time.Duration
-	maxBody  int  // of an answer
-	ordinary bool // servers answer as any web server does, not by the platform's protocol alone
+	maxBody  int         // of an answer
+	stalls   *stallGuard // nil: nothing is held up after a stand of the process
+	ordinary bool        // servers answer as any web server does, not by the platform's protocol alone
 
 	mu       sync.Mutex
 	open     int // connections, idle, in use or being dialled
@@ -393,6 +394,10 @@
 	if err != nil {
 		return result{code: unsent(ctx, err), err: err}
 	}
+	if !p.stalls.await(ctx) {
+		c.release()
+		return result{code: decide.Superseded, err: ctx.Err()}
+	}
 	// The connection may have been long in coming, so that only now it is known
 	// how much time is left.
 	msg, err := o.bytes(time.Until(end))
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -32,6 +32,8 @@
 	errSilent = fmt.Errorf("discovery has fallen silent: %w", context.DeadlineExceeded)
 	// errSlow is of a call whose answer went on coming, and was not whole in time.
 	errSlow = fmt.Errorf("discovery's answer was too slow: %w", context.DeadlineExceeded)
+	// errStood is of a call that was under way while the process stood still.
+	errStood = errors.New("this process stood still")
 )
 
 // errRestarted is of an answer with changes whose version is lower than the one
@@ -47,6 +49,7 @@
 	called time.Time // the last call began then
 	// So many calls had no answer, or one that was too slow, since the last that was answered.
 	silentCalls, slowCalls int
+	stood                  bool // the last call was under way while the process stood still
 	*observer
 	answered atomic.Pointer[time.Time] // when a call was answered last; nil: none was yet
 	index    uint64                    // 0: none yet, so that the whole list is asked for
@@ -54,6 +57,9 @@
 	asking   bool                      // for a second opinion
 	listed   func(list)
 	failed   func()
+	// confirmed hears of calls that have ended: the list is as new as when they began. It may be nil.
+	confirmed func(at time.Time)
+	recheck   chan struct{} // has a call under way end, and the next one ask for no wait
 
 	ended chan struct{}      // closed when this discovery is no longer the node's
 	stop  context.CancelFunc // of the task under way
@@ -62,7 +68,7 @@
 
 func newDiscovery(address string, times listTimes, o *observer, listed func(list), failed func()) *discovery {
 	return &discovery{url: "http://" + address + "/registry/instances", times: times, observer: o, listed: listed, failed: failed,
-		ended: make(chan struct{}), names: map[string]bool{},
+		ended: make(chan struct{}), names: map[string]bool{}, recheck: make(chan struct{}, 1),
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1,
 			DialContext: (&net.Dialer{Timeout: times.dial, ControlContext: beginConnect}).DialContext}}}
 }
@@ -106,8 +112,15 @@
 		}
 	})
 	defer watchdog.Stop()
+	go func() {
+		select {
+		case <-d.recheck:
+			cancel(errStood)
+		case <-ctx.Done():
+		}
+	}()
 	defer func() {
-		if given := context.Cause(ctx); err != nil && (given == errSilent || given == errSlow) {
+		if given := context.Cause(ctx); err != nil && (given == errSilent || given == errSlow || given == errStood) {
 			err = given
 		}
 		d.noteCall(ctx, err)
@@ -183,6 +196,17 @@
 		d.silentCalls = min(d.silentCalls+1, mostUnanswered)
 	}
 	d.count(eventDiscovery, callResult(ctx, err))
+	if d.confirmed != nil && err != errStood {
+		d.confirmed(d.called)
+	}
+}
+
+// confirmAgain has the list asked for anew, at once and with no wait.
+func (d *discovery) confirmAgain() {
+	select {
+	case d.recheck <- struct{}{}:
+	default: // it is on its way
+	}
 }
 
 // answeredAgo is how long ago a call was answered; -1: none was yet.
@@ -202,6 +226,8 @@
 		return "silent"
 	case err == errSlow:
 		return "slow"
+	case err == errStood:
+		return "stood_still"
 	case ctx.Err() != nil:
 		return "cancelled"
 	}
@@ -282,9 +308,10 @@
 	}
 	for {
 		began, before, hold, answer := time.Now(), d.index, d.times.hold, d.times.silence
-		if d.unanswered() && d.times.again > 0 {
+		if (d.unanswered() || d.stood) && d.times.again > 0 {
 			hold, answer = 0, d.times.again
 		}
+		d.stood = false
 		if err := d.call(ctx, fmt.Sprintf("?from=%d&hold_ms=%d", d.index, hold.Milliseconds()), d.wait(hold, answer)); err != nil {
 			return err
 		}
@@ -311,6 +338,9 @@
 			return
 		}
 		onSilence(err)
+		if d.stood = err == errStood; d.stood {
+			continue // at once: nothing may be sent before
+		}
 		if d.index != before || time.Since(began) > d.times.hold {
 			wait = d.times.low
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"reflect"
+	"time"
 
 	"indigotack/decide"
 	"indigotack/internal/appconfig"
@@ -62,9 +63,21 @@
 	d = newDiscovery(address, times, n.observer,
 		func(l list) { news(func() { n.follow(l.Entries, l.Index, kindOf(l)) }) },
 		func() { news(func() { n.handle(decide.ListUpdate{Kind: decide.ListFailed}) }) })
+	if from == agent {
+		d.confirmed = func(at time.Time) { news(func() { n.backends.stalls.confirm(at) }) }
+	}
 	return d
 }
 
+// watchStalls has the list confirmed after the process stood still.
+func (n *Node) watchStalls() {
+	n.backends.stalls = newStallGuard(n.cfg.Settings.DrainGrace, func() {
+		n.note(slog.LevelWarn, "the process stood still, the list is confirmed before anything is sent", eventStall, "confirmed")
+		go n.post(func() { n.discovery.confirmAgain() })
+	})
+	go n.backends.stalls.run(n.ctx)
+}
+
 // Reload takes up a configuration that was read anew while the node runs: it
 // follows the list of servers at the new address. All else needs a restart.
 func (n *Node) Reload(cfg Config) {
@@ -105,6 +118,7 @@
 	n.cfg.known.note(n.log)
 	n.post(func() { n.follow(n.cfg.known.Entries, n.cfg.known.Index, decide.ListCached) })
 	if !n.cfg.Settings.AskForList {
+		n.watchStalls()
 		go first.follow(n.ctx)
 	}
 	err := n.front.serve(ctx, ln)
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -22,6 +22,7 @@
 	eventDiscovery  = "discovery_calls"    // a call to discovery has ended
 	eventPhase      = "phases"             // the node's life has gone on
 	eventDenial     = "denials"            // an attempt was not sent that the module wanted, as it may not be any more
+	eventStall      = "stalls"             // the process stood still
 	eventViolation  = "violations"         // a rule was broken, which was found when it was too late
 )
 
--- /dev/null
+++ b/internal/node/stall.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	stallPart     = 4                      // a stand of such a part of the grace has the list confirmed before anything is sent
+	leastStall    = 50 * time.Millisecond  // a busy machine has a process wait for so long
+	stallTicks    = 8                      // looks in that time
+	mostStallWait = 300 * time.Millisecond // for the list to be confirmed; an agent that is silent just then can't
+	stallCheck    = time.Millisecond       // how often a request looks that waits for that
+)
+
+// stallGuard keeps a process that stood still from acting on what it knew
+// before: what its local agent got meanwhile counts as known to it. After a
+// stand nothing is sent until a call to the agent that began since then has
+// ended and its list is taken up, or mostStallWait is over. A nil guard never
+// holds anything up. It is safe for concurrent use.
+type stallGuard struct {
+	limit time.Duration // longer than this is a stand
+	woke  func()        // called after a stand; must not block
+
+	mu          sync.Mutex
+	ticked      time.Time // the process ran then
+	wokeAt      time.Time // the end of the last stand; zero: there was none
+	confirmedAt time.Time // the list is at least as new as this
+}
+
+func newStallGuard(grace time.Duration, woke func()) *stallGuard {
+	return &stallGuard{limit: max(grace/stallPart, leastStall), woke: woke, ticked: time.Now()}
+}
+
+// run looks for stands until ctx ends.
+func (g *stallGuard) run(ctx context.Context) {
+	for sleep(ctx, g.limit/stallTicks) {
+		g.stood(time.Now())
+	}
+}
+
+// stood notes that the process runs, and tells whether it stood still before.
+func (g *stallGuard) stood(now time.Time) bool {
+	g.mu.Lock()
+	still := now.Sub(g.ticked) > g.limit
+	g.ticked = now
+	if still {
+		g.wokeAt = now
+	}
+	g.mu.Unlock()
+	if still {
+		g.woke()
+	}
+	return still
+}
+
+// confirm notes that the list is at least as new as a time.
+func (g *stallGuard) confirm(at time.Time) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if at.After(g.confirmedAt) {
+		g.confirmedAt = at
+	}
+}
+
+// holds tells whether nothing may be sent yet.
+func (g *stallGuard) holds(now time.Time) bool {
+	g.stood(now) // whoever looks for stands may not have run yet
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.confirmedAt.Before(g.wokeAt) && now.Sub(g.wokeAt) < mostStallWait
+}
+
+// await waits until requests may be sent, and tells whether they may before ctx ends.
+func (g *stallGuard) await(ctx context.Context) bool {
+	for g != nil && g.holds(time.Now()) {
+		if !sleep(ctx, stallCheck) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/node/stall_test.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// TestStallGuard: nothing is sent after a stand until the list is as new as the
+// end of it, or the time for that is over.
+func TestStallGuard(t *testing.T) {
+	const grace = 2 * time.Second
+	woke := 0
+	g := newStallGuard(grace, func() { woke++ })
+	start := g.ticked
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	for _, step := range []struct {
+		at    time.Duration
+		does  string
+		holds bool
+	}{
+		{400 * time.Millisecond, "a busy moment", false},
+		{950 * time.Millisecond, "a stand", true},
+		{960 * time.Millisecond, "nothing yet", true},
+		{970 * time.Millisecond, "old news", true},
+		{980 * time.Millisecond, "news", false},
+		{1600 * time.Millisecond, "a second stand", true},
+		{1899 * time.Millisecond, "no news", true},
+		{1901 * time.Millisecond, "no news for too long", false},
+	} {
+		switch step.does {
+		case "old news":
+			g.confirm(at(940 * time.Millisecond))
+		case "news":
+			g.confirm(at(955 * time.Millisecond))
+		}
+		if holds := g.holds(at(step.at)); holds != step.holds {
+			t.Errorf("%v, %s: held up %v, want %v", step.at, step.does, holds, step.holds)
+		}
+	}
+	if woke != 2 {
+		t.Errorf("told of %d stands, want 2", woke)
+	}
+}
+
+// TestStallGuardLetsGo: a request whose time is over meanwhile is not sent, and
+// without a guard nothing waits.
+func TestStallGuardLetsGo(t *testing.T) {
+	g := newStallGuard(time.Hour, func() {})
+	g.wokeAt = time.Now()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Millisecond)
+	defer cancel()
+	if g.await(ctx) {
+		t.Error("a request is sent after a stand without any news")
+	}
+	var none *stallGuard
+	none.confirm(time.Now())
+	if !none.await(ctx) {
+		t.Error("a request is held up without a guard")
+	}
+}
