--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -49,7 +49,6 @@
 	called time.Time // the last call began then
 	// So many calls had no answer, or one that was too slow, since the last that was answered.
 	silentCalls, slowCalls int
-	stood                  bool // the last call was under way while the process stood still
 	*observer
 	answered atomic.Pointer[time.Time] // when a call was answered last; nil: none was yet
 	index    uint64                    // 0: none yet, so that the whole list is asked for
@@ -59,7 +58,8 @@
 	failed   func()
 	// confirmed hears of calls that have ended: the list is as new as when they began. It may be nil.
 	confirmed func(at time.Time)
-	recheck   chan struct{} // has a call under way end, and the next one ask for no wait
+	stood     atomic.Bool                             // the process stood still since the last call began
+	endCall   atomic.Pointer[context.CancelCauseFunc] // of the call under way; nil: there is none
 
 	ended chan struct{}      // closed when this discovery is no longer the node's
 	stop  context.CancelFunc // of the task under way
@@ -68,7 +68,7 @@
 
 func newDiscovery(address string, times listTimes, o *observer, listed func(list), failed func()) *discovery {
 	return &discovery{url: "http://" + address + "/registry/instances", times: times, observer: o, listed: listed, failed: failed,
-		ended: make(chan struct{}), names: map[string]bool{}, recheck: make(chan struct{}, 1),
+		ended: make(chan struct{}), names: map[string]bool{},
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1,
 			DialContext: (&net.Dialer{Timeout: times.dial, ControlContext: beginConnect}).DialContext}}}
 }
@@ -112,13 +112,8 @@
 		}
 	})
 	defer watchdog.Stop()
-	go func() {
-		select {
-		case <-d.recheck:
-			cancel(errStood)
-		case <-ctx.Done():
-		}
-	}()
+	d.endCall.Store(&cancel)
+	defer d.endCall.Store(nil)
 	defer func() {
 		if given := context.Cause(ctx); err != nil && (given == errSilent || given == errSlow || given == errStood) {
 			err = given
@@ -201,11 +196,12 @@
 	}
 }
 
-// confirmAgain has the list asked for anew, at once and with no wait.
+// confirmAgain has the list asked for anew, at once and with no wait, in the
+// place of a call that is under way.
 func (d *discovery) confirmAgain() {
-	select {
-	case d.recheck <- struct{}{}:
-	default: // it is on its way
+	d.stood.Store(true)
+	if end := d.endCall.Load(); end != nil {
+		(*end)(errStood)
 	}
 }
 
@@ -308,10 +304,9 @@
 	}
 	for {
 		began, before, hold, answer := time.Now(), d.index, d.times.hold, d.times.silence
-		if (d.unanswered() || d.stood) && d.times.again > 0 {
+		if stood := d.stood.Swap(false); (d.unanswered() || stood) && d.times.again > 0 {
 			hold, answer = 0, d.times.again
 		}
-		d.stood = false
 		if err := d.call(ctx, fmt.Sprintf("?from=%d&hold_ms=%d", d.index, hold.Milliseconds()), d.wait(hold, answer)); err != nil {
 			return err
 		}
@@ -338,7 +333,7 @@
 			return
 		}
 		onSilence(err)
-		if d.stood = err == errStood; d.stood {
+		if err == errStood {
 			continue // at once: nothing may be sent before
 		}
 		if d.index != before || time.Since(began) > d.times.hold {
--- a/internal/node/stall.go
+++ b/internal/node/stall.go
@@ -7,9 +7,11 @@
 )
 
 const (
-	stallPart     = 4                      // a stand of such a part of the grace has the list confirmed before anything is sent
+	// After a stand of half the grace the list is confirmed before anything is
+	// sent. After a shorter one it is read well before the grace is over.
+	stallPart     = 2
 	leastStall    = 50 * time.Millisecond  // a busy machine has a process wait for so long
-	stallTicks    = 8                      // looks in that time
+	stallTicks    = 2                      // looks in that time: each costs the processor
 	mostStallWait = 300 * time.Millisecond // for the list to be confirmed; an agent that is silent just then can't
 	stallCheck    = time.Millisecond       // how often a request looks that waits for that
 )
