--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -56,7 +56,7 @@
 	asking   bool                      // for a second opinion
 	listed   func(list)
 	failed   func()
-	// confirmed hears of calls that have ended: the list is as new as when they began. It may be nil.
+	// confirmed hears of calls that were answered, or that fell silent: the list is as new as when they began. It may be nil.
 	confirmed func(at time.Time)
 	stood     atomic.Bool                             // the process stood still since the last call began
 	endCall   atomic.Pointer[context.CancelCauseFunc] // of the call under way; nil: there is none
@@ -191,7 +191,7 @@
 		d.silentCalls = min(d.silentCalls+1, mostUnanswered)
 	}
 	d.count(eventDiscovery, callResult(ctx, err))
-	if d.confirmed != nil && err != errStood {
+	if d.confirmed != nil && (err == nil || err == errSilent) { // what is silent has told all that it could
 		d.confirmed(d.called)
 	}
 }
