Hear operators on their own address as clients are heard on theirs

An operator who called at an address of operators' own behind 32 silent connections had the answer after 2.0 s. That address had a listener of its own kind: 16 places, given free only by the read timeout of a second, and no descriptor held spare. It now has the clients' listener (eviction, extra connections, spare descriptor), with 4 and 2 places, so that the silent ones give way after 20 ms; internal/admin only answers.

Seen failing before: the call of TestSilentConnectionsHoldUpNoOperator took 2.001 s on the release before, 0.25 s are allowed.

--- a/cmd/indigotack/admin.go
+++ b/cmd/indigotack/admin.go
@@ -16,7 +16,7 @@
 // serveAdmin answers operators of a platform's node at their own address, where
 // it has one, until stop is called. An address that can't be had is tried again
 // and again; the node serves clients all the same.
-func serveAdmin(cfg node.Config, answers admin.Answers, log *slog.Logger) (stop func()) {
+func serveAdmin(n *node.Node, cfg node.Config, log *slog.Logger) (stop func()) {
 	if cfg.Admin == "" {
 		return func() {}
 	}
@@ -36,7 +36,7 @@
 		if ln == nil {
 			return
 		}
-		srv := admin.Serve(ln, answers)
+		srv := n.ServeOperators(ln, admin.Answers{Orders: n.Operators("admin"), Counters: n.Counters()})
 		<-ctx.Done()
 		srv.Close()
 	}()
--- a/cmd/indigotack/descriptors_test.go
+++ b/cmd/indigotack/descriptors_test.go
@@ -26,7 +26,7 @@
 	const post = "POST /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: q%d\r\nX-Class: page\r\nX-Deadline: 20\r\nContent-Length: 9\r\n\r\n"
 	for name, say := range map[string]string{"half bodies": post + "hal", "requests at a hung server": post + "half half"} {
 		t.Run(name, func(t *testing.T) {
-			listen, pid := startHung(t)
+			listen, operators, pid := startHung(t)
 			limit := unix.Rlimit{Cur: descriptorLimit, Max: descriptorLimit}
 			if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
 				t.Fatal(err)
@@ -34,29 +34,31 @@
 			fill(t, listen, say)
 			waitUntilFull(t, pid)
 			time.Sleep(500 * time.Millisecond) // all have come
+			order(t, operators, "status")
 			order(t, listen, "quiesce")
 			time.Sleep(2*time.Second + killSlack) // the drain's bound
 			order(t, listen, "status")
+			order(t, operators, "status")
 			order(t, listen, "resume")
 		})
 	}
 }
 
-// startHung runs the program before a server that takes connections and says nothing.
-func startHung(t *testing.T) (listen string, pid int) {
+// startHung runs the program, with an address of operators' own, before a server that takes connections and says nothing.
+func startHung(t *testing.T) (listen, operators string, pid int) {
 	t.Helper()
 	hung, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { hung.Close() })
-	listen = freeAddress(t)
-	cmd := program(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f",
+	listen, operators = freeAddress(t), freeAddress(t)
+	cmd := program(t, fmt.Sprintf(`{"name":"n0","listen":%q,"admin_listen":%q,"discovery":%q,"seed":"1f",
 		"settings":{"classes":[{"name":"page","effect":"fragile","aim_ns":1000000000,"give_up_ns":2000000000,"importance":1}]},
-		"known":{"index":1,"endpoints":[{"name":"s","address":%q,"status":"ready"}]}}`, listen, freeAddress(t), hung.Addr()))
-	start(t, cmd)
+		"known":{"index":1,"endpoints":[{"name":"s","address":%q,"status":"ready"}]}}`, listen, operators, freeAddress(t), hung.Addr()))
+	awaitLine(t, start(t, cmd), "operators are answered")
 	awaitReady(t, listen)
-	return listen, cmd.Process.Pid
+	return listen, operators, cmd.Process.Pid
 }
 
 // fill has many clients connect and say something, each again as its connection ends, until the test does.
@@ -135,7 +137,7 @@
 
 // TestOrderDuringStand guards against an operator who has no answer as the process stood still between the connection and the order.
 func TestOrderDuringStand(t *testing.T) {
-	listen, pid := startHung(t)
+	listen, _, pid := startHung(t)
 	for i := range 5 {
 		order(t, listen, "quiesce")
 		c, err := net.Dial("tcp", listen)
--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -82,7 +82,7 @@
 		return err
 	}
 	n := node.New(cfg, log)
-	stopAdmin := serveAdmin(cfg, admin.Answers{Orders: n.Operators(), Keep: node.WithOperator, Counters: n.Counters(), Log: log}, log)
+	stopAdmin := serveAdmin(n, cfg, log)
 	defer stopAdmin()
 	logSignals(context.WithoutCancel(ctx), n.NoteSignal)
 	go reloadOn(context.WithoutCancel(ctx), hangup.Signals, log, func() error {
@@ -129,7 +129,7 @@
 			leave()
 			return nil, fmt.Errorf("admin: %w", err)
 		}
-		srv := admin.Serve(ln, admin.Answers{Orders: s.Operators(), Keep: node.WithOperator, Counters: s.Counters(), Peers: p, Log: log})
+		srv := s.ServeOperators(ln, admin.Answers{Orders: s.Operators("admin.address"), Counters: s.Counters(), Peers: p})
 		end = append(end, func() { srv.Close() })
 	}
 	return leave, nil
--- a/internal/ctl/orders_test.go
+++ b/internal/ctl/orders_test.go
@@ -131,7 +131,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	operators := httptest.NewServer(sidecar.Operators())
+	operators := httptest.NewServer(sidecar.Operators("test"))
 	defer operators.Close()
 	address := operators.Listener.Addr().String()
 	for _, c := range []struct{ args, says string }{
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -45,22 +45,6 @@
 	}
 }
 
-type operatorKey struct{}
-
-// WithOperator keeps an operator's connection with its calls, for http.Server's
-// ConnContext: the kernel knows when a call came that lay unread.
-func WithOperator(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, operatorKey{}, rawOf(c))
-}
-
-// orderedAt is when an operator's call came, on whichever address.
-func orderedAt(r *http.Request) time.Time {
-	if raw, ok := r.Context().Value(operatorKey{}).(syscall.RawConn); ok {
-		return heardAt(raw)
-	}
-	return clientOf(r).spokeAt()
-}
-
 type clientKey struct{}
 
 // withClient keeps a connection with its requests, for http.Server's ConnContext.
@@ -81,12 +65,8 @@
 // spokeAt is when the last bytes came that the client has sent so far: for a
 // request that has just been read, when it arrived, however long it lay
 // unread. It is now where the kernel can't tell.
-func (c client) spokeAt() time.Time { return heardAt(c.raw()) }
-
-// heardAt is when the last bytes came on a socket, read or not. It is now where
-// the kernel can't tell.
-func heardAt(raw syscall.RawConn) time.Time {
-	now := time.Now()
+func (c client) spokeAt() time.Time {
+	now, raw := time.Now(), c.raw()
 	if raw == nil {
 		return now
 	}
--- a/internal/node/extra.go
+++ b/internal/node/extra.go
@@ -25,10 +25,10 @@
 func (l *limited) admitExtra(c *clientConn) bool {
 	l.mu.Lock()
 	var oldest *clientConn
-	if len(l.extras) >= extraConns {
+	if len(l.extras) >= l.mostExtra {
 		oldest = l.evictExtra(time.Now())
 	}
-	room := len(l.extras) < extraConns
+	room := len(l.extras) < l.mostExtra
 	if room {
 		l.conns[c], l.extras[c] = true, true
 	}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -73,13 +73,10 @@
 // is open. By the plan's time all that was taken has its answer, before the
 // termination signal or after it.
 func (f *frontend) serve(ctx context.Context, ln net.Listener) error {
-	srv := &http.Server{Handler: f, ReadHeaderTimeout: f.times.head, ReadTimeout: f.times.read, IdleTimeout: f.times.idle,
-		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug)}
 	limited := limitListener(ln, f.most, f.observer)
 	limited.life = &f.life
 	f.limited.Store(limited)
-	srv.ConnState = limited.note
-	srv.ConnContext = withClient
+	srv := f.server(limited, f, f.times)
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(limited) }()
 	select {
@@ -96,6 +93,13 @@
 	return srv.Close()
 }
 
+// server serves connections of a listener.
+func (f *frontend) server(l *limited, handler http.Handler, times times) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: times.head, ReadTimeout: times.read, IdleTimeout: times.idle,
+		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
+		ConnState: l.note, ConnContext: withClient}
+}
+
 // shutdown begins an orderly stop and returns when the listener is closed and
 // clients are asked to close.
 func (f *frontend) shutdown(limited *limited) {
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -37,6 +37,8 @@
 	most  int
 	life  *lifecycle.Node // nil: connections go on for good
 
+	mostExtra int // connections beyond most
+
 	mu      sync.Mutex
 	conns   map[*clientConn]bool           // all that are open
 	extras  map[*clientConn]bool           // those of them that are beyond most
@@ -48,7 +50,7 @@
 }
 
 func limitListener(ln net.Listener, most int, o *observer) *limited {
-	l := &limited{Listener: failingAccepts(ln), raw: rawOf(ln), observer: o, most: most,
+	l := &limited{Listener: failingAccepts(ln), raw: rawOf(ln), observer: o, most: most, mostExtra: extraConns,
 		conns: map[*clientConn]bool{}, extras: map[*clientConn]bool{}, idle: map[*clientConn]lifecycle.Idle{}, extraNews: make(chan struct{}, 1)}
 	l.spare.hold()
 	return l
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,8 +45,14 @@
 }
 
 // Operators answers operators' calls in all phases of the node's life, whether or not Run
-// has begun. It is to be served where clients do not connect, as it takes each call for an operator's.
-func (n *Node) Operators() http.Handler { return n.front.operators() }
+// has begun, on an address that was told by a name. It is to be served where clients do not
+// connect, as it takes each call for an operator's.
+func (n *Node) Operators(name string) http.Handler { return n.front.operators(name) }
+
+// ServeOperators answers operators on a listener of their own until the server is closed.
+func (n *Node) ServeOperators(ln net.Listener, answers http.Handler) *http.Server {
+	return n.front.serveOperators(ln, answers)
+}
 
 // Counters are what the node has counted since it was made.
 func (n *Node) Counters() *metrics.Set { return n.counters }
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -22,6 +22,10 @@
 // drainedTick is how often a drained node without connections looks after new ones.
 const drainedTick = 20 * time.Millisecond
 
+// onListen is the name of the address where clients connect, beside those of
+// operators' own.
+const onListen = "listen"
+
 var errDrained = errors.New("this node is drained")
 
 // Status is what operators are told of a node.
@@ -43,13 +47,14 @@
 		f.counters.ServeHTTP(w, r)
 		return true
 	}
-	return f.answerOperator(w, r)
+	return f.answerOperator(w, r, onListen)
 }
 
-// operators answers what operators ask on an address of their own.
-func (f *frontend) operators() http.Handler {
+// operators answers what operators ask on an address of their own that was told
+// by a name.
+func (f *frontend) operators(name string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !f.answerOperator(w, r) {
+		if !f.answerOperator(w, r, name) {
 			http.NotFound(w, r)
 		}
 	})
@@ -58,7 +63,7 @@
 // answerOperator carries out an order and answers it at once: it waits neither
 // for the event loop nor for what the order begins. It is false for paths that
 // are no operator's.
-func (f *frontend) answerOperator(w http.ResponseWriter, r *http.Request) bool {
+func (f *frontend) answerOperator(w http.ResponseWriter, r *http.Request, at string) bool {
 	var carryOut func(came time.Time, by string) (status int)
 	methods := orderMethods
 	switch r.URL.Path {
@@ -78,15 +83,15 @@
 		http.Error(w, "want "+strings.Join(methods, ", "), http.StatusMethodNotAllowed)
 		return true
 	}
-	status := carryOut(orderedAt(r), r.RemoteAddr)
-	f.note(slog.LevelInfo, "operator's call", eventOperator, call, "by", r.RemoteAddr, "method", r.Method, "status", status)
+	status := carryOut(clientOf(r).spokeAt(), r.RemoteAddr)
+	f.note(slog.LevelInfo, "operator's call", eventOperator, call, "by", r.RemoteAddr, "at", at, "method", r.Method, "status", status)
 	f.writeStatus(w, r, status)
 	return true
 }
 
 func (f *frontend) writeStatus(w http.ResponseWriter, r *http.Request, status int) {
 	s := f.status()
-	if clientOf(r).conn != nil {
+	if c := clientOf(r).conn; c != nil && c.of == f.limited.Load() {
 		s.Connections--
 	}
 	if status == http.StatusConflict {
--- /dev/null
+++ b/internal/node/operatorserver_test.go
@@ -0,0 +1,39 @@
+package node
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"indigotack/internal/appconfig"
+)
+
+// TestSilentConnectionsHoldUpNoOperator guards against a call at operators' own address that waits behind connections on which nothing comes.
+func TestSilentConnectionsHoldUpNoOperator(t *testing.T) {
+	n := startNode(t)
+	ln := onLoopback(t)
+	srv := n.ServeOperators(ln, n.Operators("test"))
+	defer srv.Close()
+	own := ln.Addr().String()
+	for range 8 * operatorConns {
+		c, err := net.Dial("tcp", own)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: enough}
+	for range 20 {
+		began := time.Now()
+		resp, err := client.Get(fmt.Sprintf("http://%s%s", own, appconfig.StatusPath))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if took := time.Since(began); resp.StatusCode != http.StatusOK || took > heardWithin {
+			t.Errorf("answer %d after %v, want 200 within %v", resp.StatusCode, took, heardWithin)
+		}
+	}
+}
--- a/internal/node/sidecar.go
+++ b/internal/node/sidecar.go
@@ -83,8 +83,14 @@
 // Counters are what the sidecar has counted since it was made.
 func (s *Sidecar) Counters() *metrics.Set { return s.counters }
 
-// Operators answers operators' calls in all phases of the sidecar's life.
-func (s *Sidecar) Operators() http.Handler { return s.front.operators() }
+// Operators answers operators' calls in all phases of the sidecar's life, on an
+// address that was told by a name.
+func (s *Sidecar) Operators(name string) http.Handler { return s.front.operators(name) }
+
+// ServeOperators answers operators on a listener of their own until the server is closed.
+func (s *Sidecar) ServeOperators(ln net.Listener, answers http.Handler) *http.Server {
+	return s.front.serveOperators(ln, answers)
+}
 
 // Drained tells whether operators have the sidecar drained.
 func (s *Sidecar) Drained() bool { return s.front.life.Drained() != nil }
--- a/internal/node/sidecarorders_test.go
+++ b/internal/node/sidecarorders_test.go
@@ -53,7 +53,7 @@
 	b := startOrdered(t, "")
 	order := func(path string) (status int, said string) {
 		answer := httptest.NewRecorder()
-		b.Operators().ServeHTTP(answer, httptest.NewRequest(http.MethodPost, path, nil))
+		b.Operators("test").ServeHTTP(answer, httptest.NewRequest(http.MethodPost, path, nil))
 		return answer.Code, answer.Body.String()
 	}
 	if status, said := order(appconfig.QuiescePath); status != http.StatusOK || !strings.Contains(said, `"drained"`) {
--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -62,7 +62,7 @@
 		{appconfig.QuiescePath, "drained", "quiesced by 192.0.2.1:1234"},
 		{appconfig.ResumePath, "ready", ""},
 	} {
-		n.Operators().ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, c.path, nil)) // from 192.0.2.1:1234
+		n.Operators("test").ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, c.path, nil)) // from 192.0.2.1:1234
 		if s, ok := n.state(); !ok || s.phase != c.phase || s.reason != c.reason {
 			t.Errorf("after %s: %+v, %v, want %s and reason %q", c.path, s, ok, c.phase, c.reason)
 		}
