Hear operators at the address that they were told of, by whatever name

What callers saw: a call to drain had no answer where the configuration named the operators' address in an object, in settings, as a port, or by a name that the program does not know ("admin": {"listen": ...} without even a warning).

Cause: three names were known, of which one was read, as a text alone; unknown names inside settings and other objects were passed over.

Now a key, at any depth, or a variable whose name consists of admin, operator, ops, control or management and of listen, address, addr, bind or port is heard, as a port or on the host where clients connect; on another host it is told only. Each line says by which name, an address that can't be had is tried again. Unknown keys are found by the types that are read, so also in settings.

--- a/cmd/indigotack/drainnode_test.go
+++ b/cmd/indigotack/drainnode_test.go
@@ -104,12 +104,13 @@
 
 // drainNode is the program with a platform's configuration.
 type drainNode struct {
-	address string
-	config  string
-	server  *pathServer
-	agent   *scriptedAgent
-	cmd     *exec.Cmd
-	said    <-chan string
+	address  string
+	config   string
+	variable string // of the environment; "": none
+	server   *pathServer
+	agent    *scriptedAgent
+	cmd      *exec.Cmd
+	said     <-chan string
 }
 
 // newDrainNode prepares a node that is to be started.
@@ -159,6 +160,9 @@
 func (n *drainNode) start(t *testing.T) {
 	t.Helper()
 	n.cmd = program(t, n.config)
+	if n.variable != "" {
+		n.cmd.Env = append(n.cmd.Env, n.variable)
+	}
 	n.said = start(t, n.cmd)
 	t.Cleanup(func() {
 		for t.Failed() {
--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -77,12 +77,13 @@
 	log, flush := logger(cfg.Name)
 	defer flush()
 	cfg.LogUnknown(log)
+	cfg.LogOperators(log)
 	ln, err := listen(ctx, cfg.Listen, log)
 	if err != nil {
 		return err
 	}
 	n := node.New(cfg, log)
-	stopAdmin := serveAdmin(n, cfg, log)
+	stopAdmin := serveAdmin(n, cfg.Operators, log)
 	defer stopAdmin()
 	logSignals(context.WithoutCancel(ctx), n.NoteSignal)
 	go reloadOn(context.WithoutCancel(ctx), hangup.Signals, log, func() error {
--- a/internal/ctl/orders_test.go
+++ b/internal/ctl/orders_test.go
@@ -160,8 +160,12 @@
 			t.Fatal(err)
 		}
 		cfg, err := node.LoadConfig(write(t, "config.json", string(raw)))
-		if err != nil || cfg.Admin != want || strings.Contains(string(raw), "admin") != (want != "") {
-			t.Errorf("admin address %q, %v, want %q in:\n%s", cfg.Admin, err, want, raw)
+		admin := ""
+		if len(cfg.Operators) == 1 {
+			admin = cfg.Operators[0].Address
+		}
+		if err != nil || admin != want || len(cfg.Operators) > 1 || strings.Contains(string(raw), "admin") != (want != "") {
+			t.Errorf("admin address %q, %v, want %q in:\n%s", admin, err, want, raw)
 		}
 	}
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -23,9 +22,9 @@
 // Config is what a node is told at its start.
 type Config struct {
 	Name      string
-	Listen    string // where clients connect
-	Discovery string // where the list of servers comes from
-	Admin     string // where operators are answered beside Listen; "": nowhere, and it may be no sound address
+	Listen    string            // where clients connect
+	Discovery string            // where the list of servers comes from
+	Operators []OperatorAddress // where operators are answered beside Listen
 	Seed      int64
 	MemoryMB  int
 	Sockets   int // file descriptors
@@ -33,8 +32,10 @@
 
 	known list // the servers as the node last had them
 
-	unknownKeys      []string // of the configuration
-	unknownVariables []string // of the environment
+	operatorsOnListen string // the name by which Listen was told as operators' address too; "": it was not
+	unheard           []unheardAddress
+	unknownKeys       []string // of the configuration
+	unknownVariables  []string // of the environment
 }
 
 // LoadConfig reads the configuration file at path.
@@ -47,8 +48,9 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("config %s: %w", path, err)
 	}
-	c.Admin = cmp.Or(c.Admin, os.Getenv("GW_ADMIN_LISTEN"), os.Getenv("GW_ADMIN"))
-	c.unknownVariables = unknownVariables(os.Environ())
+	environment := os.Environ()
+	c.findOperators(raw, environment)
+	c.findUnknown(raw, environment)
 	return c, nil
 }
 
@@ -75,10 +77,8 @@
 			MemoryMB int `json:"memory_mb"`
 			Sockets  int `json:"sockets"`
 		} `json:"limits"`
-		AdminListen lenientText     `json:"admin_listen"`
-		Admin       lenientText     `json:"admin"`
-		Known       list            `json:"known"`
-		Settings    json.RawMessage `json:"settings"`
+		Known    list            `json:"known"`
+		Settings json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(raw, &in); err != nil {
 		return Config{}, err
@@ -99,9 +99,8 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("seed: %w", err)
 	}
-	c := Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Admin: string(cmp.Or(in.AdminListen, in.Admin)), Seed: int64(seed),
-		MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets, Settings: settings, known: in.Known,
-		unknownKeys: unknownKeys(raw)}
+	c := Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Seed: int64(seed),
+		MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets, Settings: settings, known: in.Known}
 	if c.MemoryMB <= 0 {
 		c.MemoryMB = defaultMemoryMB
 	}
@@ -113,16 +112,3 @@
 	}
 	return c, nil
 }
-
-// lenientText is a text that must not keep a configuration from being read:
-// where something else stands, it is that as it is written.
-type lenientText string
-
-func (t *lenientText) UnmarshalJSON(raw []byte) error {
-	var text string
-	if json.Unmarshal(raw, &text) != nil {
-		text = string(raw)
-	}
-	*t = lenientText(text)
-	return nil
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"reflect"
+	"slices"
 	"time"
 
 	"indigotack/decide"
@@ -97,7 +98,7 @@
 // follows the list of servers at the new address. All else needs a restart.
 func (n *Node) Reload(cfg Config) {
 	n.post(func() {
-		if cfg.Listen != n.cfg.Listen || cfg.Admin != n.cfg.Admin || cfg.Seed != n.cfg.Seed || cfg.MemoryMB != n.cfg.MemoryMB || cfg.Sockets != n.cfg.Sockets ||
+		if cfg.Listen != n.cfg.Listen || !slices.Equal(cfg.Operators, n.cfg.Operators) || cfg.Seed != n.cfg.Seed || cfg.MemoryMB != n.cfg.MemoryMB || cfg.Sockets != n.cfg.Sockets ||
 			!reflect.DeepEqual(cfg.Settings, n.cfg.Settings) {
 			n.log.Warn("of the new configuration only discovery is taken up; the rest needs a restart")
 		}
--- a/internal/node/unknown.go
+++ b/internal/node/unknown.go
@@ -5,6 +5,9 @@
 	"log/slog"
 	"slices"
 	"strings"
+
+	"indigotack/internal/jsonkeys"
+	"indigotack/internal/wire"
 )
 
 // environmentPrefix begins the names of all variables that a platform sets for a node.
@@ -13,41 +16,56 @@
 // mostUnknown is how many unknown names are logged one by one.
 const mostUnknown = 20
 
-// What a platform may tell a node, whether or not the node uses it.
-var (
-	knownKeys = []string{"name", "listen", "discovery", "seed", "limits", "known", "settings",
-		"peer_listen", "peers", "peers_all", "admin_listen", "admin"}
-	knownLimits    = []string{"cores", "memory_mb", "sockets"}
-	knownVariables = []string{"GW_NAME", "GW_LISTEN", "GW_DISCOVERY", "GW_CONFIG", "GW_ADMIN_LISTEN", "GW_ADMIN"}
-)
+// configKeys are the keys that a platform may write in a node's configuration,
+// whether or not the node uses them. Those of settings are the wire's.
+type configKeys struct {
+	Name       any `json:"name"`
+	Listen     any `json:"listen"`
+	Discovery  any `json:"discovery"`
+	Seed       any `json:"seed"`
+	Known      any `json:"known"`
+	Settings   any `json:"settings"`
+	PeerListen any `json:"peer_listen"`
+	Peers      any `json:"peers"`
+	PeersAll   any `json:"peers_all"`
+	Limits     struct {
+		Cores    any `json:"cores"`
+		MemoryMB any `json:"memory_mb"`
+		Sockets  any `json:"sockets"`
+	} `json:"limits"`
+	AdminListen any `json:"admin_listen"`
+	Admin       struct {
+	} `json:"admin"`
+}
 
-// unknownKeys gives the keys of a configuration that the node does not know, in
-// order. It is a JSON object, which has been read.
+// knownVariables are those that a platform may set for a node.
+var knownVariables = []string{"GW_NAME", "GW_LISTEN", "GW_DISCOVERY", "GW_CONFIG"}
+
+// findUnknown finds the names that the node does not know, in a configuration
+// that has been read and in an environment in the form of os.Environ. Those by
+// which operators' addresses were told are known.
+func (c *Config) findUnknown(raw []byte, environment []string) {
+	c.unknownKeys = slices.DeleteFunc(unknownKeys(raw), c.namesOperators)
+	c.unknownVariables = slices.DeleteFunc(unknownVariables(environment), c.namesOperators)
+}
+
+// namesOperators tells whether operators' address was told by a name, or below it.
+func (c *Config) namesOperators(name string) bool {
+	told := func(by string) bool { return by == name || strings.HasPrefix(by, name+".") }
+	return told(c.operatorsOnListen) || slices.ContainsFunc(c.Operators, func(o OperatorAddress) bool { return told(o.Name) })
+}
+
+// unknownKeys gives the keys of a configuration that the node does not know, in order.
 func unknownKeys(raw []byte) []string {
-	unknown := keysBeside(knownKeys, raw, "")
+	unknown := jsonkeys.Unknown(raw, configKeys{})
 	var in struct {
-		Limits json.RawMessage `json:"limits"`
+		Settings json.RawMessage `json:"settings"`
 	}
 	if json.Unmarshal(raw, &in) == nil {
-		unknown = append(unknown, keysBeside(knownLimits, in.Limits, "limits.")...)
-	}
-	return unknown
-}
-
-// keysBeside gives the keys of an object that are not among the known ones. As
-// for encoding/json, capitals make no difference.
-func keysBeside(known []string, object json.RawMessage, prefix string) (unknown []string) {
-	var values map[string]json.RawMessage
-	if json.Unmarshal(object, &values) != nil {
-		return nil
-	}
-	for key := range values {
-		same := func(k string) bool { return strings.EqualFold(k, key) }
-		if !slices.ContainsFunc(known, same) {
-			unknown = append(unknown, prefix+key)
+		for _, key := range wire.UnknownSettings(in.Settings) {
+			unknown = append(unknown, "settings."+key)
 		}
 	}
-	slices.Sort(unknown)
 	return unknown
 }
 
@@ -56,7 +74,7 @@
 func unknownVariables(environment []string) (unknown []string) {
 	for _, variable := range environment {
 		name, _, _ := strings.Cut(variable, "=")
-		if strings.HasPrefix(name, environmentPrefix) && !slices.Contains(knownVariables, name) {
+		if strings.HasPrefix(name, environmentPrefix) && !slices.Contains(knownVariables, name) && !slices.Contains(documentedVariables, name) {
 			unknown = append(unknown, name)
 		}
 	}
@@ -64,6 +82,14 @@
 	return unknown
 }
 
+// unknownNames are those of keys and variables, cut for the log.
+func (c Config) unknownNames() (names []string) {
+	for _, name := range slices.Concat(c.unknownKeys, c.unknownVariables) {
+		names = append(names, shortened(name))
+	}
+	return names
+}
+
 // LogUnknown warns of what the node was told and does not know: names, never
 // values, which may be secret.
 func (c Config) LogUnknown(log *slog.Logger) {
--- a/internal/node/unknown_test.go
+++ b/internal/node/unknown_test.go
@@ -33,10 +33,10 @@
 	config = strings.Replace(config, `"name":"n3"`, `"Name":"n3","peer_listen":"","peers_all":"","orders":{"at":"topsecret"}`, 1)
 	config = strings.Replace(config, `"balancers":5`, `"balancers":5,"unheard_of":1`, 1)
 	lines := loggedUnknown(t, config)
-	if len(lines) != 3 {
-		t.Fatalf("%d lines, want one each of two keys and a variable:\n%s", len(lines), strings.Join(lines, "\n"))
+	if len(lines) != 4 {
+		t.Fatalf("%d lines, want one each of three keys and a variable:\n%s", len(lines), strings.Join(lines, "\n"))
 	}
-	for i, want := range []string{"key=limits.fans", "key=orders", "variable=GW_COLOUR"} {
+	for i, want := range []string{"key=limits.fans", "key=orders", "key=settings.unheard_of", "variable=GW_COLOUR"} {
 		has := func(line string) bool { return strings.HasSuffix(line, want) && strings.Contains(line, "level=WARN") }
 		if !slices.ContainsFunc(lines, has) {
 			t.Errorf("line %d: no warning that ends with %s:\n%s", i, want, strings.Join(lines, "\n"))
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,8 +5,13 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/jsonkeys"
 )
 
+// UnknownSettings gives the keys of settings that DecodeSettings passes over, as
+// paths in order.
+func UnknownSettings(raw json.RawMessage) []string { return jsonkeys.Unknown(raw, profile{}) }
+
 // EncodeSettings writes settings in the form that DecodeSettings reads.
 func EncodeSettings(s decide.Settings) ([]byte, error) {
 	var p profile
