Carry out operators' calls without a Host, with a client's headers, with slashes

What callers saw: /admin/quiesce answered 400 by net/http itself where it named no Host (HTTP/1.1), passed to a server, whose 200 looked like the node's, or 405, where it had a client's headers, and 400 with a slash too many. In none of these did the node drain.

Cause: whether a request is an operator's call went by the absence of X-Class and by the exact path, behind net/http's own checks. On a platform the path decides now: all below /admin is operators', what is no call there has a 404 with the known ones and a line in the log, also in another case and with a client's headers. A call's head is followed as it is read, and gets a Host before its end if it has none. A call waits for no body. OPTIONS * is a request as any other and has no 200.

A sidecar's on_listen stays as it was.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net/http"
 
+	"indigotack/internal/appconfig"
 	"indigotack/internal/metrics"
 	"indigotack/internal/peers"
 )
@@ -18,9 +19,9 @@
 	Peers    *peers.Peers // nil: the node keeps no view
 }
 
-// ServeHTTP answers a call.
+// ServeHTTP answers a call. Slashes that are too many in its path make no difference.
 func (a Answers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	switch path := r.URL.Path; {
+	switch path := appconfig.CleanPath(r.URL.Path); {
 	case path == "/metrics" && r.Method == http.MethodGet:
 		a.Counters.ServeHTTP(w, r)
 	case path == "/view" && r.Method == http.MethodGet:
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -27,7 +27,9 @@
 		says   string
 	}{
 		{"/admin/status", http.StatusOK, "GET /admin/status"},
+		{"//admin/status/", http.StatusOK, "GET //admin/status/"},
 		{"/metrics", http.StatusOK, `indigotack_attempts_total{reason="served"} 1`},
+		{"/metrics/", http.StatusOK, `indigotack_attempts_total{reason="served"} 1`},
 		{"/view", http.StatusNotFound, "keeps no view"},
 		{"/api/x", http.StatusNotFound, ""},
 	} {
--- a/internal/appconfig/admin.go
+++ b/internal/appconfig/admin.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"strings"
 
 	"indigotack/internal/conf"
 )
@@ -14,6 +15,20 @@
 	StatusPath  = "/admin/status"
 )
 
+var calls = []string{QuiescePath, ResumePath, StatusPath}
+
+// Calls are the paths of all operators' calls.
+func Calls() []string { return slices.Clone(calls) }
+
+// IsCall tells whether a path is that of an operator's call.
+func IsCall(path string) bool { return slices.Contains(calls, path) }
+
+// CleanPath is a path without slashes that are too many: in a row, or at its end.
+func CleanPath(path string) string {
+	parts := strings.FieldsFunc(path, func(r rune) bool { return r == '/' })
+	return "/" + strings.Join(parts, "/")
+}
+
 // Admin is where operators are answered.
 type Admin struct {
 	Address  netip.AddrPort // their own address, on loopback; the zero value: none
@@ -32,7 +47,7 @@
 
 // answers tells whether the node itself answers operators on a path where clients connect.
 func (a Admin) answers(path string) bool {
-	return a.OnListen && slices.Contains([]string{QuiescePath, ResumePath, StatusPath}, path)
+	return a.OnListen && IsCall(path)
 }
 
 // text is operators' own address, "" if there is none.
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -38,6 +38,13 @@
 // admitted tells whether a request may be taken on the connection.
 func (c client) admitted() bool { return c.conn == nil || c.conn.of.promote(c.conn) }
 
+// take notes that a request has been taken from the client, which is answered from here.
+func (c client) take() {
+	if c.conn != nil {
+		c.conn.take()
+	}
+}
+
 // owe notes that a whole request has been read from the client.
 func (c client) owe() {
 	if c.conn != nil {
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -37,6 +38,9 @@
 	ahead    bool               // the first byte of the next request has been read
 	whole    bool               // a request's whole head has been read, and nothing of its answer is written
 	watched  bool
+
+	head head   // of the request that is being read
+	rest []byte // of what was read, for the next reads
 }
 
 // Read notes that a request has begun in the same instant in which it takes
@@ -57,6 +61,9 @@
 // readRaw asks the kernel for bytes, and waits for them, once.
 func (c *clientConn) readRaw(b []byte) (n int, err error) {
 	asked := len(b)
+	if len(c.rest) > 0 {
+		return c.readRest(b), nil
+	}
 	b = shortRead(b)
 	waited := c.raw.Read(func(fd uintptr) bool {
 		c.of.mu.Lock()
@@ -78,8 +85,8 @@
 			return false
 		}
 		if n > 0 {
-			c.heard(asked == 1)
 			c.heardExtra(b[:n])
+			n = c.heard(b, n, asked == 1)
 		}
 		return true
 	})
@@ -94,24 +101,53 @@
 	return n, nil
 }
 
-// heard notes that bytes have been read, maybe by one who asked for one byte
-// alone. The caller holds of.mu.
-func (c *clientConn) heard(oneAsked bool) {
+// readRest reads what was read before and is not passed on yet.
+func (c *clientConn) readRest(b []byte) (n int) {
+	c.of.mu.Lock()
+	defer c.of.mu.Unlock()
+	n = copy(b, c.rest)
+	c.rest = c.rest[n:]
+	if _, idle := c.of.idle[c]; !idle && len(b) == 1 {
+		c.ahead = true
+	}
+	return n
+}
+
+// heard notes that the first n bytes of b have been read, maybe by one who asked
+// for one byte alone, and gives how many are to be passed on: more where a host
+// was inserted. The caller holds of.mu.
+func (c *clientConn) heard(b []byte, n int, oneAsked bool) int {
 	if idle, is := c.of.idle[c]; is { // of a request that is not whole yet
 		idle.Since, idle.Begun = time.Now(), true
 		c.of.idle[c] = idle
-		return
+		return c.withHost(b, n)
 	}
 	if !oneAsked {
-		return
+		return n
 	}
 	// net/http asks for one byte while a request is in hand, to hear of its
 	// client's going. Now it has one and looks no further.
 	c.ahead = true
+	c.head.read(b[:n])
 	if !c.watched {
 		c.watched = true
 		go c.watch()
 	}
+	return n
+}
+
+// withHost follows the head of which the first n bytes of b are the next, and
+// completes an operator's call that names no host, which net/http would refuse.
+// It gives how many bytes of b are to be passed on.
+func (c *clientConn) withHost(b []byte, n int) int {
+	at := c.head.read(b[:n])
+	if at < 0 || !c.of.completesCalls {
+		return n
+	}
+	whole := slices.Concat(b[:at], []byte(insertHost), b[at:n])
+	n = copy(b, whole)
+	c.rest = whole[n:]
+	return n
 }
 
 // watch ends the requests of a client that goes after it has sent more than
@@ -151,6 +187,13 @@
 	}
 }
 
+// take notes that a whole request has been read, which is answered from here.
+func (c *clientConn) take() {
+	c.of.mu.Lock()
+	defer c.of.mu.Unlock()
+	c.head.reset()
+}
+
 // Close closes the connection. One on which an answer is owed should not be,
 // unless its client has gone.
 func (c *clientConn) Close() error {
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -43,9 +43,9 @@
 	over          broadcast               // sent when all that is taken has to be answered
 	limited       atomic.Pointer[limited] // the listener while it serves
 	inHand        atomic.Int64            // requests that were read and have no answer yet
-	takesOrders   bool                    // of operators, on the address where clients connect
-	tellsCounters bool                    // there too
-	drainChanged  func()                  // called after a drain has begun or ended; must not wait
+	orders        ordersOnListen
+	tellsCounters bool   // on the address where clients connect
+	drainChanged  func() // called after a drain has begun or ended; must not wait
 }
 
 // times bounds what the front waits for on its connections.
@@ -75,6 +75,7 @@
 func (f *frontend) serve(ctx context.Context, ln net.Listener) error {
 	limited := limitListener(ln, f.most, f.observer)
 	limited.life = &f.life
+	limited.completesCalls = f.orders == ordersByPath
 	f.limited.Store(limited)
 	srv := f.server(limited, f, f.times)
 	failed := make(chan error, 1)
@@ -93,11 +94,11 @@
 	return srv.Close()
 }
 
-// server serves connections of a listener.
+// server serves connections of a listener. All requests are left to the handler.
 func (f *frontend) server(l *limited, handler http.Handler, times times) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: times.head, ReadTimeout: times.read, IdleTimeout: times.idle,
 		MaxHeaderBytes: maxHead, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
-		ConnState: l.note, ConnContext: withClient}
+		ConnState: l.note, ConnContext: withClient, DisableGeneralOptionsHandler: true}
 }
 
 // shutdown begins an orderly stop and returns when the listener is closed and
@@ -152,6 +153,7 @@
 
 // ServeHTTP answers the health checks and operators, and passes requests to the loop.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	clientOf(r).take()
 	if f.closing(r) || clientOf(r).extra() {
 		w.Header().Set("Connection", "close")
 	}
--- /dev/null
+++ b/internal/node/head_test.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"strings"
+	"testing"
+)
+
+// TestHeadGetsAHost: in however many pieces a head comes, a Host is to be
+// inserted once, before its end, if it is a call that names none.
+func TestHeadGetsAHost(t *testing.T) {
+	for text, missing := range map[string]bool{
+		"GET /admin/quiesce HTTP/1.1\r\n\r\n":                                   true,
+		"GET /admin/quiesce HTTP/1.1\n\n":                                       true,
+		"POST //admin//resume/?x HTTP/1.1\r\nAccept: */*\r\n\r\nbody":           true,
+		"POST http://a/admin/status HTTP/1.1\r\nX: Host: a\r\n Host: b\r\n\r\n": true,
+		"GET /admin/quiesce HTTP/1.1\r\nX: y\r\nhOST:a\r\n\r\n":                 false,
+		"GET /admin/quiesce HTTP/1.1\r\nHost:\r\n\r\n":                          false,
+		"GET /admin/quiesce HTTP/1.1\r\nHost: a\r\n\r\n\r\n\r\n":                false,
+		"GET /admin/quiesce\r\n\r\n":                                            false,
+		"GET /admin/other HTTP/1.1\r\n\r\n":                                     false,
+		"GET /api/admin/quiesce HTTP/1.1\r\n\r\n":                               false,
+		"GET /api/x HTTP/1.1\r\n\r\nGET /admin/quiesce HTTP/1.1\r\n\r\n":        false,
+	} {
+		for size := 1; size <= len(text); size++ {
+			var h head
+			inserted, passed := 0, ""
+			for i := 0; i < len(text); i += size {
+				piece := text[i:min(i+size, len(text))]
+				if at := h.read([]byte(piece)); at >= 0 {
+					inserted++
+					piece = piece[:at] + insertHost + piece[at:]
+				}
+				passed += piece
+			}
+			if (inserted == 1) != missing || inserted > 1 {
+				t.Fatalf("%q in pieces of %d: %d Hosts are inserted", text, size, inserted)
+			}
+			if end := insertHost + text[strings.Index(text, "\n"):]; missing && !strings.Contains(passed, "\n"+insertHost) {
+				t.Fatalf("%q in pieces of %d: passed on as %q, want a line %q", text, size, passed, end)
+			}
+		}
+	}
+}
+
+// TestHeadKeepsItsFirstLine: as far as it came, cut, and that of the next request after a reset.
+func TestHeadKeepsItsFirstLine(t *testing.T) {
+	long := strings.Repeat("x", 2*mostLine)
+	for text, want := range map[string]string{"": "", "GET /x": "GET /x", "GET /x HTTP/1.1\r\nHost: a\r\n": "GET /x HTTP/1.1", long: long[:loggedLine], "\r\nGET": ""} {
+		h := head{line: []byte("of the one before"), lineOver: true, over: true}
+		h.reset()
+		for i := range text {
+			h.read([]byte(text[i : i+1]))
+		}
+		if got := h.text(); got != want || h.begun() != (text != "") || len(h.line) > mostLine {
+			t.Errorf("%q: %q of %d bytes, begun %v, want %q", text, got, len(h.line), h.begun(), want)
+		}
+	}
+}
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -37,7 +37,8 @@
 	most  int
 	life  *lifecycle.Node // nil: connections go on for good
 
-	mostExtra int // connections beyond most
+	mostExtra      int  // connections beyond most
+	completesCalls bool // operators' calls need no Host
 
 	mu      sync.Mutex
 	conns   map[*clientConn]bool           // all that are open
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	pathpkg "path"
 	"slices"
 	"strings"
 	"time"
@@ -22,10 +23,6 @@
 // drainedTick is how often a drained node without connections looks after new ones.
 const drainedTick = 20 * time.Millisecond
 
-// onListen is the name of the address where clients connect, beside those of
-// operators' own.
-const onListen = "listen"
-
 var errDrained = errors.New("this node is drained")
 
 // Status is what operators are told of a node.
@@ -37,56 +34,88 @@
 	Connections  int     `json:"connections"` // of clients, without the one that asks
 }
 
+// ordersOnListen is which requests are operators' calls on the address where
+// clients connect.
+type ordersOnListen int
+
+const (
+	ordersNone         ordersOnListen = iota
+	ordersWithoutClass                // those that name no class; the paths may be an application's too
+	ordersByPath                      // all below operatorsPath, which no client of a platform asks for
+)
+
+const (
+	operatorsPath = "/admin"
+	onListen      = "listen" // the name of the address where clients connect, beside those of operators' own
+)
+
 // operatorCall answers what operators ask on the address where clients connect,
-// and is false for all else. A request with a class is a client's, whatever its path.
+// and is false for all else.
 func (f *frontend) operatorCall(w http.ResponseWriter, r *http.Request) bool {
-	if !f.takesOrders || len(r.Header.Values("X-Class")) > 0 {
-		return false
-	}
-	if f.tellsCounters && r.URL.Path == metricsPath && r.Method == http.MethodGet {
+	hasClass := len(r.Header.Values("X-Class")) > 0
+	switch {
+	case f.tellsCounters && r.URL.Path == metricsPath && r.Method == http.MethodGet && !hasClass:
 		f.counters.ServeHTTP(w, r)
-		return true
+	case f.orders == ordersByPath && isOperators(r.URL.Path), f.orders == ordersWithoutClass && !hasClass && appconfig.IsCall(r.URL.Path):
+		f.answerOperator(w, r, onListen)
+	default:
+		return false
 	}
-	return f.answerOperator(w, r, onListen)
+	return true
+}
+
+// isOperators tells whether a path is operators', however it is written. Only
+// slashes that are too many are passed over in a call, as a front may guard the rest.
+func isOperators(path string) bool {
+	clean := strings.ToLower(pathpkg.Clean("/" + path))
+	return clean == operatorsPath || strings.HasPrefix(clean, operatorsPath+"/")
 }
 
 // operators answers what operators ask on an address of their own that was told
 // by a name.
 func (f *frontend) operators(name string) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !f.answerOperator(w, r, name) {
-			http.NotFound(w, r)
-		}
-	})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.answerOperator(w, r, name) })
 }
 
-// answerOperator carries out an order and answers it at once: it waits neither
-// for the event loop nor for what the order begins. It is false for paths that
-// are no operator's.
-func (f *frontend) answerOperator(w http.ResponseWriter, r *http.Request, at string) bool {
-	var carryOut func(came time.Time, by string) (status int)
-	methods := orderMethods
-	switch r.URL.Path {
-	case appconfig.QuiescePath:
-		carryOut = f.orderDrain
-	case appconfig.ResumePath:
-		carryOut = f.orderResume
-	case appconfig.StatusPath:
-		carryOut, methods = func(time.Time, string) int { return http.StatusOK }, []string{http.MethodGet}
-	default:
-		return false
+// answerOperator carries out an order that was heard at an address and answers it
+// at once: it waits neither for the event loop, nor for what the order begins,
+// nor for a body.
+func (f *frontend) answerOperator(w http.ResponseWriter, r *http.Request, at string) {
+	if r.ContentLength != 0 {
+		w.Header().Set("Connection", "close")
+		http.NewResponseController(w).SetReadDeadline(time.Now().Add(dregsTime)) // fails only on a closed connection
+	}
+	path := appconfig.CleanPath(r.URL.Path)
+	carryOut, methods := f.order(path)
+	if carryOut == nil {
+		f.note(slog.LevelWarn, "unknown operator's call", eventOperator, "unknown", "by", r.RemoteAddr, "at", at, "method", r.Method, "path", shortened(r.URL.Path))
+		http.Error(w, "want "+strings.Join(appconfig.Calls(), ", "), http.StatusNotFound)
+		return
 	}
-	call := strings.TrimPrefix(r.URL.Path, "/admin/")
+	call := strings.TrimPrefix(path, operatorsPath+"/")
 	if !slices.Contains(methods, r.Method) {
-		f.note(slog.LevelWarn, "operator's call with another method", eventOperator, call+"_method", "by", r.RemoteAddr, "method", r.Method)
+		f.note(slog.LevelWarn, "operator's call with another method", eventOperator, call+"_method", "by", r.RemoteAddr, "at", at, "method", shortened(r.Method))
 		w.Header().Set("Allow", strings.Join(methods, ", "))
 		http.Error(w, "want "+strings.Join(methods, ", "), http.StatusMethodNotAllowed)
-		return true
+		return
 	}
 	status := carryOut(clientOf(r).spokeAt(), r.RemoteAddr)
 	f.note(slog.LevelInfo, "operator's call", eventOperator, call, "by", r.RemoteAddr, "at", at, "method", r.Method, "status", status)
 	f.writeStatus(w, r, status)
-	return true
+}
+
+// order is what the call of a path has carried out, and by which methods it
+// comes; nil if there is no such call.
+func (f *frontend) order(path string) (carryOut func(came time.Time, by string) (status int), methods []string) {
+	switch path {
+	case appconfig.QuiescePath:
+		return f.orderDrain, orderMethods
+	case appconfig.ResumePath:
+		return f.orderResume, orderMethods
+	case appconfig.StatusPath:
+		return func(time.Time, string) int { return http.StatusOK }, []string{http.MethodGet}
+	}
+	return nil, nil
 }
 
 func (f *frontend) writeStatus(w http.ResponseWriter, r *http.Request, status int) {
--- a/internal/node/operatorserver.go
+++ b/internal/node/operatorserver.go
@@ -25,7 +25,11 @@
 func (f *frontend) serveOperators(ln net.Listener, answers http.Handler) *http.Server {
 	limited := limitListener(ln, operatorConns, f.observer)
 	limited.mostExtra = operatorExtraConns
-	srv := f.server(limited, answers, times{head: operatorReadTime, read: operatorReadTime})
+	limited.completesCalls = true
+	srv := f.server(limited, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		clientOf(r).take()
+		answers.ServeHTTP(w, r)
+	}), times{head: operatorReadTime, read: operatorReadTime})
 	srv.WriteTimeout = operatorWriteTime
 	srv.SetKeepAlivesEnabled(false)
 	go srv.Serve(limited) // ends with Close
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -22,7 +22,7 @@
 	}
 	f.plan = func() lifecycle.ShutdownPlan { return lifecycle.PlanShutdown(longest, true) }
 	f.read = p.read
-	f.takesOrders = true
+	f.orders = ordersByPath
 	f.tellsCounters = n.cfg.operatorsOnListen != ""
 	f.drainChanged = func() { n.followDrain(&f.life) }
 	return f
--- a/internal/node/sidecar.go
+++ b/internal/node/sidecar.go
@@ -71,7 +71,9 @@
 	s.front.times = times{head: app.Head, read: app.Request, write: app.Write, idle: app.Keep}
 	s.front.read = s.read
 	s.front.drainChanged = s.followDrain
-	s.front.takesOrders = app.Admin.OnListen
+	if app.Admin.OnListen {
+		s.front.orders = ordersWithoutClass
+	}
 	s.front.plan = func() lifecycle.ShutdownPlan {
 		s.mu.RLock()
 		defer s.mu.RUnlock()
