Log and count what is refused or closed before a request is taken

What callers saw: nothing.

Each such connection or request now has a line with the client's address, the first line as far as it came (100 bytes, no values of headers) and why, counted under "unread" by reason, five lines a second of a reason at most. It is found in the shared connection: an answer that is written though no request was taken is net/http's own, and a connection that ends with a part of a head, or with nothing, is told of as it ends. The regular state line has the operators' addresses heard, the calls heard and where, names not known, and what was refused unread since the last line, each only where there is some.

--- a/cmd/indigotack/admin.go
+++ b/cmd/indigotack/admin.go
@@ -26,7 +26,7 @@
 			if ln == nil {
 				return
 			}
-			srv := n.ServeOperators(ln, admin.Answers{Orders: n.Operators(a.Name), Counters: n.Counters()})
+			srv := n.ServeOperators(ln, a.Name, admin.Answers{Orders: n.Operators(a.Name), Counters: n.Counters()})
 			<-ctx.Done()
 			srv.Close()
 		})
--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -130,7 +130,8 @@
 			leave()
 			return nil, fmt.Errorf("admin: %w", err)
 		}
-		srv := s.ServeOperators(ln, admin.Answers{Orders: s.Operators("admin.address"), Counters: s.Counters(), Peers: p})
+		const name = "admin.address"
+		srv := s.ServeOperators(ln, name, admin.Answers{Orders: s.Operators(name), Counters: s.Counters(), Peers: p})
 		end = append(end, func() { srv.Close() })
 	}
 	return leave, nil
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -1,12 +1,14 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
 	"log/slog"
 	"net"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -39,8 +41,13 @@
 	whole    bool               // a request's whole head has been read, and nothing of its answer is written
 	watched  bool
 
-	head head   // of the request that is being read
-	rest []byte // of what was read, for the next reads
+	head      head   // of the request that is being read
+	rest      []byte // of what was read, for the next reads
+	taken     bool   // a request has been taken since the connection was last idle
+	carried   bool   // a request has been taken from it
+	accounted bool   // what was refused or closed of it before a request was taken is in the log
+	why       string // it is closed; "": for what its last read ended with
+	readErr   error  // of the last read
 }
 
 // Read notes that a request has begun in the same instant in which it takes
@@ -92,11 +99,15 @@
 	})
 	switch {
 	case waited != nil:
-		return 0, waited
+		err = waited
 	case err != nil: // as a reset tells, or the close here, that nobody is left to be told of a bad request
-		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+		err = &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
 	case n == 0:
-		return 0, io.EOF
+		err = io.EOF
+	}
+	if err != nil {
+		c.failed(err)
+		return 0, err
 	}
 	return n, nil
 }
@@ -113,6 +124,13 @@
 	return n
 }
 
+// failed notes what a read ended with.
+func (c *clientConn) failed(err error) {
+	c.of.mu.Lock()
+	defer c.of.mu.Unlock()
+	c.readErr = err
+}
+
 // heard notes that the first n bytes of b have been read, maybe by one who asked
 // for one byte alone, and gives how many are to be passed on: more where a host
 // was inserted. The caller holds of.mu.
@@ -180,6 +198,7 @@
 func (c *clientConn) end() {
 	if !c.closed {
 		c.closed = true
+		c.accountAtEnd()
 		c.tellExtra()
 		delete(c.of.conns, c)
 		delete(c.of.extras, c)
@@ -187,10 +206,50 @@
 	}
 }
 
+// endFor ends it for a reason, as end does.
+func (c *clientConn) endFor(why string) {
+	c.why = why
+	c.end()
+}
+
+// accountAtEnd has the log tell of a connection that ends before a request was
+// taken from what came on it. The caller holds of.mu.
+func (c *clientConn) accountAtEnd() {
+	reason := unreadHalf
+	if !c.head.begun() {
+		reason = unreadSilent
+	}
+	if c.accounted || reason == unreadSilent && c.carried {
+		return
+	}
+	c.account(cmp.Or(c.why, whyEnded(c.readErr)), reason)
+}
+
+// account has the log tell of what was refused or closed. The caller holds of.mu.
+func (c *clientConn) account(why, reason string) {
+	c.accounted = true
+	c.of.noteUnread(c.RemoteAddr(), c.head.text(), why, reason)
+}
+
+// refusedFor is why net/http refuses what came, by its answer and by what is known
+// of the head. The caller holds of.mu.
+func (c *clientConn) refusedFor(answer []byte) (why, reason string) {
+	said, _, _ := strings.Cut(string(answer), "\r\n")
+	why, reason = shortened(strings.TrimPrefix(said, "HTTP/1.1 ")), unreadReason(said)
+	switch {
+	case c.readErr != nil:
+		return whyEnded(c.readErr), unreadHalf
+	case c.head.hosts > 1:
+		return why, unreadManyHosts
+	}
+	return why, reason
+}
+
 // take notes that a whole request has been read, which is answered from here.
 func (c *clientConn) take() {
 	c.of.mu.Lock()
 	defer c.of.mu.Unlock()
+	c.taken, c.carried = true, true
 	c.head.reset()
 }
 
@@ -216,11 +275,15 @@
 	c.owed = true
 }
 
-// Write notes that an answer has begun.
+// Write notes that an answer has begun. Where no request was taken it is a
+// refusal of net/http's.
 func (c *clientConn) Write(b []byte) (int, error) {
 	n, err := neterr.WriteAll(c.Conn, b, answerRetryTime)
 	c.of.mu.Lock()
 	defer c.of.mu.Unlock()
+	if !c.taken && !c.accounted {
+		c.account(c.refusedFor(b))
+	}
 	if n > 0 {
 		c.owed, c.whole = false, false
 		c.tellExtra()
@@ -247,8 +310,9 @@
 // missing, and drops what else comes. The caller holds of.mu, and nobody else
 // writes, as the server still reads.
 func (c *clientConn) refuse() {
-	c.refused = true
-	c.of.observer.note(slog.LevelInfo, "half a request refused", eventRequest, "refused_unfinished", "client", c.RemoteAddr())
+	c.refused, c.accounted = true, true
+	c.of.unread.add(c.head.text())
+	c.of.observer.note(slog.LevelInfo, "half a request refused", eventRequest, "refused_unfinished", "client", c.RemoteAddr(), "said", c.head.text())
 	c.Conn.SetWriteDeadline(time.Now().Add(refuseWriteTime))
 	if _, err := c.Conn.Write([]byte(refusal)); err == nil {
 		c.CloseWrite()
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -71,7 +71,8 @@
 		if l.place(conn) {
 			return conn, nil
 		}
-		l.observer.note(slog.LevelWarn, "no room for a connection", eventConnection, "no_room")
+		l.count(eventConnection, "no_room")
+		l.noteUnread(c.RemoteAddr(), "", whyNoRoom, unreadNoRoom)
 		c.Close()
 	}
 }
@@ -190,12 +191,13 @@
 	switch {
 	case conn.closed:
 	case state == http.StateIdle && conn.ahead:
-		conn.ahead = false // the next request has begun
+		conn.ahead, conn.taken = false, false // the next request has begun
 		l.idle[conn] = lifecycle.Idle{Since: now, Spoken: true, Begun: true}
 	case state == http.StateNew || state == http.StateIdle:
+		conn.taken = false
 		l.idle[conn] = lifecycle.Idle{Since: now, Spoken: state == http.StateIdle}
 		if over = l.ending() && l.mayClose(conn, now, l.phaseOf(conn, now)); over {
-			conn.end()
+			conn.endFor(whyStopped)
 		}
 	default:
 		conn.whole = true
@@ -269,13 +271,13 @@
 		switch phase := l.phaseOf(c, now); {
 		case c.closed:
 		case isIdle && l.mayClose(c, now, phase):
-			c.end()
+			c.endFor(whyStopped)
 			idle = append(idle, c)
 		case phase >= lifecycle.Refusing && isIdle && !l.idle[c].Begun && c.pending(): // its reader is about to take it
 		case phase >= lifecycle.Refusing:
 			c.hurry(now)
 			if phase >= lifecycle.Ended && lifecycle.MayCut(now.Sub(c.hurried), c.owed) {
-				c.end()
+				c.endFor(whyTimeOver)
 				cut = append(cut, c)
 			}
 		}
@@ -318,5 +320,5 @@
 	if l.idle[c].Begun {
 		c.refuse()
 	}
-	c.end()
+	c.endFor(whyGaveWay)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,8 +51,8 @@
 func (n *Node) Operators(name string) http.Handler { return n.front.operators(name) }
 
 // ServeOperators answers operators on a listener of their own until the server is closed.
-func (n *Node) ServeOperators(ln net.Listener, answers http.Handler) *http.Server {
-	return n.front.serveOperators(ln, answers)
+func (n *Node) ServeOperators(ln net.Listener, name string, answers http.Handler) *http.Server {
+	return n.front.serveOperators(ln, name, answers)
 }
 
 // Counters are what the node has counted since it was made.
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -25,6 +25,7 @@
 	eventList       = "lists"              // a list of servers was taken up
 	eventDiscovery  = "discovery_calls"    // a call to discovery has ended
 	eventOperator   = "operator_calls"     // an operator has given an order, or asked
+	eventUnread     = "unread"             // a connection or a request was refused or closed before a request was taken
 	eventPhase      = "phases"             // the node's life has gone on
 	eventDenial     = "denials"            // an attempt was not sent that the module wanted, as it may not be any more
 	eventSignal     = "signals"            // the process was sent a signal
@@ -44,15 +45,19 @@
 	log      *slog.Logger
 	counters *metrics.Set
 	limiter  *eventlog.Limiter
+	unread   *unreadLog
+	calls    *callLog
 }
 
 func newObserver(log *slog.Logger) *observer {
-	return &observer{log: log, counters: &metrics.Set{}, limiter: eventlog.NewLimiter(linesPerSecond)}
+	return &observer{log: log, counters: &metrics.Set{}, limiter: eventlog.NewLimiter(linesPerSecond), unread: &unreadLog{}, calls: &callLog{}}
 }
 
 // with is the same observer with further attributes on its lines.
 func (o *observer) with(args ...any) *observer {
-	return &observer{log: o.log.With(args...), counters: o.counters, limiter: o.limiter}
+	copied := *o
+	copied.log = o.log.With(args...)
+	return &copied
 }
 
 // count counts an event that is too common for the log.
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -100,6 +100,7 @@
 		return
 	}
 	status := carryOut(clientOf(r).spokeAt(), r.RemoteAddr)
+	f.calls.add(call, at)
 	f.note(slog.LevelInfo, "operator's call", eventOperator, call, "by", r.RemoteAddr, "at", at, "method", r.Method, "status", status)
 	f.writeStatus(w, r, status)
 }
--- a/internal/node/operatorserver.go
+++ b/internal/node/operatorserver.go
@@ -20,9 +20,10 @@
 	operatorWriteTime = 5 * time.Second
 )
 
-// serveOperators answers operators on a listener of their own until the server is closed. It is heard as the clients' one is: in a
+// serveOperators answers operators on a listener of their own that was told by a
+// name, until the server is closed. It is heard as the clients' one is: in a
 // crowd of silent connections, and without descriptors.
-func (f *frontend) serveOperators(ln net.Listener, answers http.Handler) *http.Server {
+func (f *frontend) serveOperators(ln net.Listener, name string, answers http.Handler) *http.Server {
 	limited := limitListener(ln, operatorConns, f.observer)
 	limited.mostExtra = operatorExtraConns
 	limited.completesCalls = true
@@ -32,6 +33,7 @@
 	}), times{head: operatorReadTime, read: operatorReadTime})
 	srv.WriteTimeout = operatorWriteTime
 	srv.SetKeepAlivesEnabled(false)
+	f.calls.listen(ln.Addr().String(), name)
 	go srv.Serve(limited) // ends with Close
 	return srv
 }
--- a/internal/node/operatorserver_test.go
+++ b/internal/node/operatorserver_test.go
@@ -13,10 +13,10 @@
 // TestSilentConnectionsHoldUpNoOperator guards against a call at operators' own address that waits behind connections on which nothing comes.
 func TestSilentConnectionsHoldUpNoOperator(t *testing.T) {
 	n := startNode(t)
-	ln := onLoopback(t)
-	srv := n.ServeOperators(ln, n.Operators("test"))
+	srv := n.ServeOperators(onLoopback(t), "test", n.Operators("test"))
 	defer srv.Close()
-	own := ln.Addr().String()
+	own := n.calls.addresses()[0]
+	own = own[:len(own)-len("(test)")]
 	for range 8 * operatorConns {
 		c, err := net.Dial("tcp", own)
 		if err != nil {
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -11,6 +11,8 @@
 const (
 	stateEvery = 2 * time.Second // between lines of the log that tell the node's state
 	stateTime  = time.Second     // for the event loop to tell it
+
+	unknownInState = 3 // unknown names in a line; the rest is counted
 )
 
 // nodeState is what a node believes and holds at some moment. Beside a request
@@ -24,6 +26,12 @@
 	draining          []string // names of servers that are listed as draining
 	openRequests      int
 	clientConnections int
+
+	operatorsAt  []string // operators' own addresses, with the names that told them
+	calls        []string // of operators since the start, by the address that heard them
+	unknownNames []string // of the configuration and the environment
+	unread       int      // connections and requests that were refused or closed before a request was taken, since the last line
+	unreadNewest string   // what the newest of them began with
 }
 
 // attributes gives the state as attributes of a line of the log.
@@ -32,8 +40,23 @@
 	if s.discoveryAnswered >= 0 {
 		answered = s.discoveryAnswered
 	}
-	return []any{"phase", s.phase, "phase_reason", s.reason, "list_version", s.listVersion, "discovery_answered_ago", answered, "servers", s.servers,
+	all := []any{"phase", s.phase, "phase_reason", s.reason, "list_version", s.listVersion, "discovery_answered_ago", answered, "servers", s.servers,
 		"draining", names(s.draining), "open_requests", s.openRequests, "client_connections", s.clientConnections}
+	if len(s.operatorsAt) > 0 {
+		all = append(all, "operators_at", s.operatorsAt)
+	}
+	if len(s.calls) > 0 {
+		all = append(all, "operator_calls", s.calls)
+	}
+	if more := len(s.unknownNames) - unknownInState; more > 0 {
+		all = append(all, "unknown_names", s.unknownNames[:unknownInState], "more_unknown_names", more)
+	} else if more > -unknownInState {
+		all = append(all, "unknown_names", s.unknownNames)
+	}
+	if s.unread > 0 {
+		all = append(all, "unread", s.unread, "unread_newest", s.unreadNewest)
+	}
+	return all
 }
 
 // state asks the event loop for the node's state. It is false where the loop
@@ -61,7 +84,8 @@
 func (n *Node) stateOnLoop() nodeState {
 	front := n.front.status()
 	s := nodeState{phase: front.State, reason: front.Reason, listVersion: n.listVersion, discoveryAnswered: n.discovery.answeredAgo(),
-		servers: len(n.entries), openRequests: len(n.requests), clientConnections: front.Connections}
+		servers: len(n.entries), openRequests: len(n.requests), clientConnections: front.Connections,
+		operatorsAt: n.calls.addresses(), calls: n.calls.summary(), unknownNames: n.cfg.unknownNames()}
 	for name, e := range n.entries {
 		if states[e.Status] == decide.Draining {
 			s.draining = append(s.draining, name)
@@ -82,6 +106,7 @@
 			return
 		}
 		if s, ok := n.state(); ok {
+			s.unread, s.unreadNewest = n.unread.take()
 			n.log.Log(n.ctx, slog.LevelInfo, "state", s.attributes()...)
 		}
 	}
