Have the rehearsal's operators call in every form and at every address

Beside each order the node is sent something that it refuses, and a new part of the checker "operators" looks for a refusal of which the log does not tell.

--- a/internal/rig/check_operators.go
+++ b/internal/rig/check_operators.go
@@ -12,12 +12,13 @@
 
 // What operators expect of a node that they order to drain or to resume.
 const (
-	orderAnswer  = 250 * time.Millisecond // from an order to its answer
+	orderAnswer  = 50 * time.Millisecond  // from an order to its answer
 	notReadyTime = 100 * time.Millisecond // from an order to drain to the node being not ready
 	readyAgain   = 300 * time.Millisecond // from an order to resume to the node being ready
 	refusalTime  = 300 * time.Millisecond // from a request at a drained node to its refusal
 	newcomerTime = 500 * time.Millisecond // for a connection that was made after the order to drain
 	resumeLooked = time.Second            // within which a node that resumed is looked at
+	accountTime  = 500 * time.Millisecond // from a refusal to the line of the log that tells of it
 )
 
 // operatorDrain is a time in which operators had a node drained. It counts from
@@ -33,7 +34,8 @@
 // operatorOrder is an order with its answer.
 type operatorOrder struct {
 	id, node, text string
-	at, replied    int64 // replied 0: it never was
+	form           string // and where it was given
+	at, replied    int64  // replied 0: it never was
 	took           time.Duration
 	status         int // 0: no answer
 	answer         string
@@ -62,12 +64,13 @@
 	drains := h.operatorDrains(orders)
 	judges := []func(*findings) int{
 		func(f *findings) int { return h.judgeOrders(f, orders) },
+		h.judgeMisreads,
 		func(f *findings) int { return h.judgePolls(f, drains) },
 		func(f *findings) int { return h.judgeHeld(f, drains) },
 		func(f *findings) int { return h.judgeDrainedRequests(f, drains) },
 	}
 	if h.untimed() {
-		judges = judges[:1] // what an order is answered with is no matter of time
+		judges = judges[:2] // what is answered, and logged at all, is no matter of time
 	}
 	for _, judge := range judges {
 		f := &findings{h: h, name: "operators"}
@@ -100,7 +103,7 @@
 				termed[e.Node] = e.At
 			}
 		case Commanded:
-			o := &operatorOrder{id: e.ID, node: e.Node, text: e.Text, at: e.At, termed: termed[e.Node]}
+			o := &operatorOrder{id: e.ID, node: e.Node, text: e.Text, form: e.Class + " at " + e.Peer, at: e.At, termed: termed[e.Node]}
 			byID[e.ID] = o
 			all = append(all, o)
 		case Replied:
@@ -203,14 +206,38 @@
 			continue
 		}
 		if !o.accepted() && !o.deniedAtEnd() {
-			f.add(o.node, o.at, "%s answered %s with %s", o.node, o.text, o.answer)
+			f.add(o.node, o.at, "%s answered %s (%s) with %s", o.node, o.text, o.form, o.answer)
 			continue
 		}
 		if o.accepted() && o.is(resumePath) && o.termed > 0 && o.at-o.termed > int64(notReadyTime) {
 			f.add(o.node, o.at, "%s answered %s with %s though it had been told to end", o.node, o.text, o.answer)
 		}
 		if o.took > orderAnswer+h.lateness(o.at, o.replied) && !h.untimed() {
-			f.add(o.node, o.at, "%s answered %s after %v", o.node, o.text, o.took.Round(time.Millisecond))
+			f.add(o.node, o.at, "%s answered %s (%s) after %v", o.node, o.text, o.form, o.took.Round(time.Millisecond))
+		}
+	}
+	return looked
+}
+
+// judgeMisreads looks for what a node refused, or should have, and left no trace.
+func (h *History) judgeMisreads(f *findings) (looked int) {
+	accounted := map[string]bool{}
+	for i := range h.Events {
+		if e := &h.Events[i]; e.What == Accounted {
+			accounted[e.ID] = true
+		}
+	}
+	for i := range h.Events {
+		e := &h.Events[i]
+		if e.What != Misread || e.At > h.end || anyMeets(h.away[e.Node], e.At-int64(orderTimeout), e.At+int64(accountTime)) {
+			continue
+		}
+		looked++
+		switch status := int(e.N); {
+		case status < http.StatusBadRequest:
+			f.add(e.Node, e.At, "%s answered %s with %d", e.Node, e.Text, status)
+		case !accounted[e.ID]:
+			f.add(e.Node, e.At, "%s answered %s with %d, and its log does not tell of it", e.Node, e.Text, status)
 		}
 	}
 	return looked
--- a/internal/rig/history.go
+++ b/internal/rig/history.go
@@ -44,6 +44,8 @@
 	Polled      = "polled"      // a node was asked whether it is ready: Node, Text (ready, not ready, no answer), N (seconds that it took)
 	Connected   = "connected"   // a client that holds a connection has made it: ID (of the connection), Node, Text (what it does on it)
 	Closed      = "closed"      // that connection has ended: ID, Node, Text (by whom: node, client)
+	Misread     = "misread"     // a node was sent something that it refuses: ID (the connection's own address), Node, Text (what), N (status of the answer)
+	Accounted   = "accounted"   // a node's log tells of that: ID, Node
 	Phase       = "phase"       // Text: load, quiet, end
 )
 
--- a/internal/rig/node.go
+++ b/internal/rig/node.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -30,6 +31,7 @@
 	crowd    *crowd        // at its door; the actor's
 	operator *operator
 	out      *os.File // its log
+	misreads sync.Map // own addresses of connections on which something was sent that it refuses, until its log tells of it
 }
 
 // file writes a node's file.
@@ -84,6 +86,9 @@
 	cmd.Dir = n.dir
 	cmd.Env = append(os.Environ(), clock.Variable+"="+n.offset.String(), clock.FileVariable+"="+clockFile, "GW_CONFIG="+platformConfig,
 		fmt.Sprintf("%s=%v:%d", socketsVariable, f.plan.Sockets, f.plan.Seed*100+uint64(n.i)))
+	if variable := n.operatorsForm().Variable(n.operatorsAt()); f.plan.Platform && f.plan.quiesces() && variable != "" {
+		cmd.Env = append(cmd.Env, variable)
+	}
 	if f.extra != nil {
 		cmd.Env = append(cmd.Env, f.extra(n.name)...)
 	}
@@ -134,6 +139,7 @@
 		n.out.Write(append(bytes.Clone(line), '\n')) // a log that can't be kept is not worth the run
 	}
 	n.mu.Unlock()
+	n.accountFor(line)
 	if bytes.Contains(line, []byte("level=INFO")) || bytes.Contains(line, []byte("level=DEBUG")) {
 		return
 	}
--- a/internal/rig/operators.go
+++ b/internal/rig/operators.go
@@ -1,15 +1,21 @@
 package rig
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
+
+	"indigotack/internal/standin"
 )
 
 // Paths of the orders that operators give a node.
@@ -35,17 +41,15 @@
 type operator struct {
 	actor
 	node      *node
-	client    *http.Client
-	rng       *rand.Rand // of the methods of orders; the actor's, as the rest is
+	rng       *rand.Rand // of the forms of orders and where they are given; the actor's, as the rest is
 	orders    int
 	withdrawn *process           // the run to which clients are no longer sent; nil: none
-	held      sync.WaitGroup     // connections made before orders to drain
+	held      sync.WaitGroup     // connections made before orders to drain, and calls that are no orders
 	letGo     context.CancelFunc // ends them; nil: there are none
 }
 
 func newOperator(n *node, actors *sync.WaitGroup) *operator {
-	return &operator{actor: newActor(actors), node: n, rng: rand.New(rand.NewPCG(n.of.plan.Seed, 100+uint64(n.i))),
-		client: &http.Client{Timeout: orderTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+	return &operator{actor: newActor(actors), node: n, rng: rand.New(rand.NewPCG(n.of.plan.Seed, 100+uint64(n.i)))}
 }
 
 // quiesces tells whether a plan has operators drain nodes.
@@ -66,6 +70,10 @@
 
 // carryOut orders the node to drain, or to resume where the fault is over.
 func (o *operator) carryOut(fault *Fault, over bool) {
+	if o.node.of.plan.Platform {
+		form := o.drawRefused()
+		o.held.Go(func() { o.node.misread(form) })
+	}
 	if over {
 		o.order(resumePath)
 		o.release()
@@ -120,14 +128,17 @@
 	o.held.Wait()
 }
 
-// order gives the node an order, and notes it and its answer.
+// order gives the node an order in a form and at an address that are drawn, and
+// notes it and its answer.
 func (o *operator) order(path string) {
-	method := []string{http.MethodPost, http.MethodGet}[o.rng.IntN(2)]
+	form, address := o.draw()
+	method, _, _ := strings.Cut(form.For(path), " ")
 	o.orders++
-	e := Event{What: Commanded, Node: o.node.name, ID: fmt.Sprintf("order-%s-%d", o.node.name, o.orders), Text: method + " " + path}
+	e := Event{What: Commanded, Node: o.node.name, ID: fmt.Sprintf("order-%s-%d", o.node.name, o.orders), Text: method + " " + path,
+		Class: form.Name, Peer: address}
 	o.node.of.log.note(e)
 	sent := time.Now()
-	status, err := o.send(method, path)
+	status, err := call(o.node.of.ctx, address, form.For(path), nil)
 	if e.What, e.Text = Replied, strconv.Itoa(status); err != nil {
 		e.Text = err.Error()
 	}
@@ -135,26 +146,84 @@
 	o.node.of.log.note(e)
 }
 
-// send gives the status that the node answers an order with. A sidecar hears
-// operators at an address of its own, a platform's node where clients connect.
-func (o *operator) send(method, path string) (status int, err error) {
-	address := o.node.of.network.block.nodeAt(o.node.i)
-	if !o.node.of.plan.Platform {
-		address = o.node.of.network.block.adminAt(o.node.i)
+// draw is a form of an order and an address where the node hears it. A sidecar
+// hears operators at an address of its own, a platform's node also where clients connect.
+func (o *operator) draw() (form standin.CallForm, address string) {
+	block := o.node.of.network.block
+	form, address = standin.CallForms[o.rng.IntN(len(standin.CallForms))], block.adminAt(o.node.i)
+	if o.node.of.plan.Platform && o.rng.IntN(2) == 0 {
+		address = block.nodeAt(o.node.i)
+	}
+	return form, address
+}
+
+// drawRefused is something that looks like an order and is refused at once, with
+// a line of the log that is not one of many that clients cause in a drain.
+func (o *operator) drawRefused() standin.RefusedForm {
+	for {
+		if form := standin.RefusedForms[o.rng.IntN(len(standin.RefusedForms))]; !form.Slow() && !form.AsRequest() {
+			return form
+		}
 	}
-	req, err := http.NewRequestWithContext(o.node.of.ctx, method, "http://"+address+path, nil)
+}
+
+// call sends a call on a connection of its own, and gives the status of the
+// answer. made is told the connection's own address before anything is sent; it may be nil.
+func call(ctx context.Context, address, text string, made func(own string)) (status int, err error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return 0, err
 	}
-	resp, err := o.client.Do(req)
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	if made != nil {
+		made(conn.LocalAddr().String())
+	}
+	if _, err := io.WriteString(conn, text); err != nil {
+		return 0, err
+	}
+	answers := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(answers, nil)
+	if err == nil && resp.StatusCode == http.StatusContinue {
+		io.WriteString(conn, "{}") // a connection that has failed has no answer either
+		resp, err = http.ReadResponse(answers, nil)
+	}
 	if err != nil {
 		return 0, err
 	}
 	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return 0, err
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+// misread sends the node something that it refuses, and notes the answer. The
+// node's log has to tell of it.
+func (n *node) misread(form standin.RefusedForm) {
+	e := Event{What: Misread, Node: n.name, Text: form.Name}
+	status, err := call(n.of.ctx, n.of.network.block.nodeAt(n.i), form.Text, func(own string) {
+		e.ID = own
+		n.misreads.Store(own, true)
+	})
+	if err != nil {
+		return // it may not have come to the node
+	}
+	e.N = float64(status)
+	n.of.log.note(e)
+}
+
+// accountFor notes a line of the log that tells of what was sent as misread.
+func (n *node) accountFor(line []byte) {
+	for _, field := range bytes.Fields(line) {
+		key, value, _ := bytes.Cut(field, []byte("="))
+		if key := string(key); key != "client" && key != "by" {
+			continue
+		}
+		if _, sent := n.misreads.LoadAndDelete(string(value)); sent {
+			n.of.log.note(Event{What: Accounted, Node: n.name, ID: string(value)})
+		}
 	}
-	return resp.StatusCode, nil
 }
 
 // pollReady notes whether the node says that it is ready, until end is closed.
--- a/internal/rig/platform.go
+++ b/internal/rig/platform.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"strconv"
 	"time"
 
 	"indigotack/decide"
@@ -49,15 +51,50 @@
 		return err
 	}
 	k := n.of.network.block
-	text, err := json.Marshal(map[string]any{"name": n.name, "listen": k.nodeAt(n.i), "discovery": k.discoveryAt(n.i, n.place),
+	keys := map[string]any{"name": n.name, "listen": k.nodeAt(n.i), "discovery": k.discoveryAt(n.i, n.place),
 		"seed": fmt.Sprintf("%x", n.of.plan.Seed*1000+uint64(n.i)+1), "limits": map[string]int{"memory_mb": 192, "sockets": platformSockets},
-		"known": n.known, "settings": json.RawMessage(settings)})
+		"known": n.known, "settings": json.RawMessage(settings)}
+	if n.of.plan.quiesces() {
+		if keys, err = n.withOperators(keys, settings); err != nil {
+			return err
+		}
+	}
+	text, err := json.Marshal(keys)
 	if err != nil {
 		return err
 	}
 	return os.WriteFile(filepath.Join(n.dir, platformConfig), text, 0o600)
 }
 
+// operatorsForm is how a platform's node is told of operators' address. The
+// nodes of a fleet are told in different ways, and by the seed in others.
+func (n *node) operatorsForm() standin.AddressForm {
+	return standin.AddressForms[(int(n.of.plan.Seed%uint64(len(standin.AddressForms)))+n.i)%len(standin.AddressForms)]
+}
+
+// operatorsAt is operators' own address at the node, and its port.
+func (n *node) operatorsAt() (address, port string) {
+	return n.of.network.block.adminAt(n.i), strconv.Itoa(adminPort)
+}
+
+// withOperators adds operators' address to a configuration.
+func (n *node) withOperators(keys map[string]any, settings []byte) (map[string]any, error) {
+	form, more, moreSettings := n.operatorsForm(), map[string]any{}, map[string]any{}
+	address, port := n.operatorsAt()
+	if err := json.Unmarshal([]byte("{"+form.Keys(address, port)+"}"), &more); err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal(settings, &moreSettings); err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal([]byte("{"+form.Settings(address, port)+"}"), &moreSettings); err != nil {
+		return nil, err
+	}
+	maps.Copy(keys, more)
+	keys["settings"] = moreSettings
+	return keys, nil
+}
+
 // knownList is the list that a platform gives a node with its configuration. It
 // is that of the load's beginning, and so an old one to nodes that start later.
 type knownList struct {
