--- a/internal/rig/check.go
+++ b/internal/rig/check.go
@@ -68,6 +68,8 @@
 	starved  map[string][]span          // nodes short of CPU
 	wrong    map[[2]string][]span       // links with a fault
 	missed   map[string][]int64         // by client address: connections that a relay could not pass on
+	belated  map[string]time.Duration   // by client address: how late a relay passed on a connection's first bytes
+	crowds   map[string][]span          // by node
 	late     []span                     // the rig, or a server of its own, woke late, or a process waited for a core
 	busy     map[int]bool               // seconds that can't be judged by time
 	lastOver int64                      // when the last fault was over
--- a/internal/rig/evidence.go
+++ b/internal/rig/evidence.go
@@ -61,7 +61,7 @@
 // newHistory puts events together.
 func newHistory(p *Plan, events []Event) *History {
 	h := &History{Plan: p, Events: events, end: forever, quiet: forever, requests: map[string]*requestLog{}, away: map[string][]span{}, stands: map[string][]span{},
-		starved: map[string][]span{}, wrong: map[[2]string][]span{}, missed: map[string][]int64{}, busy: map[int]bool{}, told: map[[2]string][]toldStatus{}, views: map[string][]viewLog{}, listings: map[string][]toldStatus{}, moves: map[string][]span{}}
+		starved: map[string][]span{}, wrong: map[[2]string][]span{}, missed: map[string][]int64{}, belated: map[string]time.Duration{}, crowds: map[string][]span{}, busy: map[int]bool{}, told: map[[2]string][]toldStatus{}, views: map[string][]viewLog{}, listings: map[string][]toldStatus{}, moves: map[string][]span{}}
 	classes := map[string]*Class{}
 	for i := range p.Classes {
 		classes[p.Classes[i].Name] = &p.Classes[i]
@@ -99,6 +99,8 @@
 			}
 		case Unconnected:
 			h.missed[e.Peer] = append(h.missed[e.Peer], e.At)
+		case Belated:
+			h.belated[e.Peer] = time.Duration(e.N * 1e9)
 		case Late:
 			h.late = append(h.late, span{from: e.At - int64(e.N*1e9), to: e.At, by: int64(e.N * 1e9)})
 		case Viewed:
@@ -192,6 +194,10 @@
 				h.wrong[l] = append(h.wrong[l], span{from: from, to: to})
 			}
 		}
+	case FaultCrowd:
+		for _, name := range s.Targets {
+			h.crowds[name] = append(h.crowds[name], span{from: from, to: to})
+		}
 	case FaultTorn:
 		h.torn = append(h.torn, span{from: from, to: to})
 	case FaultStarve:
--- a/internal/rig/relay.go
+++ b/internal/rig/relay.go
@@ -36,14 +36,18 @@
 	filler net.Conn // what fills the backlog while the link is dark
 }
 
-// relayEvent is what a relay tells of one connection: that it is through, or
-// that its far end could not be reached.
+// relayEvent is what a relay tells of one connection: that it is through, that
+// its far end could not be reached, or that its first bytes were late.
 type relayEvent struct {
 	Conn  *relayed
-	Peer  string // the address that it came from
-	Local string // the address under which the far end sees it; "" if it was not reached
+	Peer  string        // the address that it came from
+	Local string        // the address under which the far end sees it; "" if it was not reached
+	Late  time.Duration // from when it was through to its first bytes, if they were late
 }
 
+// lateBytes is from when first bytes are late.
+const lateBytes = 10 * time.Millisecond
+
 // relayed is one connection.
 type relayed struct {
 	link      *link
@@ -52,6 +56,8 @@
 	delivered [directions]atomic.Int64 // bytes written to the direction's other end
 	dead      [directions]atomic.Bool  // bytes were lost, so that none may follow
 	passed    func()                   // called after bytes were delivered; set before any are, or nil
+	made      time.Time
+	late      func(time.Duration) // called before its first bytes are delivered, if they are late
 	gone      chan struct{}
 	once      sync.Once
 }
@@ -212,7 +218,8 @@
 		r.told(relayEvent{Peer: peer})
 		return
 	}
-	one := &relayed{link: l, reversed: r.link == nil && r.name == l.from, ends: [directions]*net.TCPConn{there: c, back: far.(*net.TCPConn)}, gone: make(chan struct{})}
+	one := &relayed{link: l, reversed: r.link == nil && r.name == l.from, ends: [directions]*net.TCPConn{there: c, back: far.(*net.TCPConn)}, gone: make(chan struct{}), made: time.Now()}
+	one.late = func(late time.Duration) { r.told(relayEvent{Conn: one, Peer: peer, Late: late}) }
 	r.mu.Lock()
 	r.conns[one] = true
 	r.mu.Unlock()
@@ -356,6 +363,9 @@
 	if state.Rate > 0 && !pause(time.Duration(float64(len(b))/float64(state.Rate)*float64(time.Second)), c.gone) {
 		return
 	}
+	if late := time.Since(c.made); way == there && c.delivered[way].Load() == 0 && late >= lateBytes {
+		c.late(late)
+	}
 	n, err := to.Write(b)
 	c.delivered[way].Add(int64(n))
 	if c.passed != nil {
