--- a/cmd/indigotack/descriptors_test.go
+++ b/cmd/indigotack/descriptors_test.go
@@ -18,7 +18,7 @@
 
 const (
 	descriptorLimit = 64
-	heardWithin     = 250 * time.Millisecond // an operator's call, in whatever crowd
+	heardWithin     = 50 * time.Millisecond // an operator's call, in whatever crowd
 )
 
 // TestOperatorsAreHeardWithoutDescriptors guards against a node that has no answer for operators while clients hold all of its process's descriptors.
--- a/internal/node/extra_test.go
+++ b/internal/node/extra_test.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	heardWithin = 250 * time.Millisecond // an operator's call, in whatever crowd
+	heardWithin = 50 * time.Millisecond // an operator's call, in whatever crowd
 	crowdSize   = 1000
 	crowdPause  = time.Second // before a client of a crowd comes again
 )
@@ -188,7 +188,7 @@
 			continue
 		}
 		io.Copy(io.Discard, resp.Body)
-		if _, err := c.read.ReadByte(); err != io.EOF || time.Since(began) > heardWithin+200*time.Millisecond {
+		if _, err := c.read.ReadByte(); err != io.EOF || time.Since(began) > lifecycle.SpeakTime+200*time.Millisecond {
 			t.Errorf("%.40q: the connection ends with %v after %v", say, err, time.Since(began))
 		}
 	}
