Cut an answer that nobody reads by the drain's bound, not 0.1 s after it

What callers saw: a connection of a client that does not take its answer was held until 0.1 s past the longest deadline and 0.7 s, at a drain as at a stop.

Cause: the 0.2 s for an answer to be written counted from when what has not come whole is refused (0.1 s before the kill) rather than from when the last answers are due (0.25 s before it). They count from there now, and as before from when the process runs again if it stood still then.

--- a/internal/lifecycle/drain.go
+++ b/internal/lifecycle/drain.go
@@ -66,12 +66,13 @@
 // so long after its connection's time was over.
 func MayRefuse(sinceOver time.Duration) bool { return sinceOver >= headTime }
 
-// MayCut tells whether a connection may be cut so long after its time was over,
-// which is when what has not come whole is refused. What is owed an answer gets the time to
-// have it written, also in a process that stood still until then.
-func MayCut(sinceOver time.Duration, owed bool) bool {
+// MayCut tells whether a connection may be cut so long after its answer was due,
+// and after its time was over, which is when what has not come whole is refused.
+// What is owed an answer gets the time to have it written, also in a process that
+// stood still until then.
+func MayCut(sinceDue, sinceOver time.Duration, owed bool) bool {
 	if owed {
-		return sinceOver >= writeTime
+		return sinceDue >= writeTime
 	}
 	return sinceOver >= refuseTime
 }
--- a/internal/lifecycle/drain_test.go
+++ b/internal/lifecycle/drain_test.go
@@ -103,12 +103,12 @@
 // TestMayCut guards against an answer that a connection's cut overtakes.
 func TestMayCut(t *testing.T) {
 	for _, c := range []struct {
-		since time.Duration
-		owed  bool
-		want  bool
-	}{{0, false, false}, {refuseTime, false, true}, {refuseTime, true, false}, {writeTime, true, true}} {
-		if got := MayCut(c.since, c.owed); got != c.want {
-			t.Errorf("%v after the refusal, owed %v: %v, want %v", c.since, c.owed, got, c.want)
+		sinceDue, sinceOver time.Duration
+		owed                bool
+		want                bool
+	}{{0, 0, false, false}, {writeTime, 0, false, false}, {0, refuseTime, false, true}, {refuseTime, writeTime, true, false}, {writeTime, refuseTime, true, true}} {
+		if got := MayCut(c.sinceDue, c.sinceOver, c.owed); got != c.want {
+			t.Errorf("%+v: %v, want %v", c, got, c.want)
 		}
 	}
 }
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -34,6 +34,7 @@
 	accepted time.Time
 	cancel   context.CancelFunc // ends the connection's requests; set before they are read
 	closed   bool               // guarded by of.mu, as the rest is
+	due      time.Time          // since when its answer is due; zero: it is not
 	hurried  time.Time          // since when what has not come whole is waited for no longer
 	refused  bool               // what comes is read and dropped
 	owed     bool               // a whole request has been read, and nothing of its answer is written
@@ -291,6 +292,16 @@
 	return n, err
 }
 
+// noteDue notes whether its answer is due in a phase. The caller holds of.mu.
+func (c *clientConn) noteDue(now time.Time, phase lifecycle.Phase) {
+	switch {
+	case phase < lifecycle.Expired:
+		c.due = time.Time{}
+	case c.due.IsZero():
+		c.due = now
+	}
+}
+
 // hurry ends the wait for a request that has not come whole: one whose head is
 // still coming is refused here, and of one whose body is the reader fails. The
 // caller holds of.mu.
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -268,7 +268,9 @@
 	l.mu.Lock()
 	for c := range conns {
 		_, isIdle := l.idle[c]
-		switch phase := l.phaseOf(c, now); {
+		phase := l.phaseOf(c, now)
+		c.noteDue(now, phase)
+		switch {
 		case c.closed:
 		case isIdle && l.mayClose(c, now, phase):
 			c.endFor(whyStopped)
@@ -276,7 +278,7 @@
 		case phase >= lifecycle.Refusing && isIdle && !l.idle[c].Begun && c.pending(): // its reader is about to take it
 		case phase >= lifecycle.Refusing:
 			c.hurry(now)
-			if phase >= lifecycle.Ended && lifecycle.MayCut(now.Sub(c.hurried), c.owed) {
+			if phase >= lifecycle.Ended && lifecycle.MayCut(now.Sub(c.due), now.Sub(c.hurried), c.owed) {
 				c.endFor(whyTimeOver)
 				cut = append(cut, c)
 			}
