Log SIGRTMIN and go on, which ended the process

What callers saw: signal 34 ended the node with status 162, requests in hand were lost, and no line told why. Cause: Go installs no handler for it, so the system's default is in force.

Seen failing before: TestSignalsThatAskNothing with 34 ("the program ends").

--- a/cmd/indigotack/signals.go
+++ b/cmd/indigotack/signals.go
@@ -16,8 +16,8 @@
 var loggedSignals = append([]os.Signal{syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGALRM, syscall.SIGVTALRM,
 	syscall.SIGTSTP, syscall.SIGCONT, syscall.SIGXCPU, syscall.SIGXFSZ, syscall.SIGIO, syscall.SIGPWR}, stopSignals...)
 
-// Real-time signals that Go can catch. The one before them, SIGRTMIN of the C
-// library, it leaves to the system, which ends the process.
+// Real-time signals that Go can catch. For the one before them there is
+// logRealTimeMinimum.
 const (
 	firstRealTime = syscall.Signal(35)
 	lastRealTime  = syscall.Signal(64)
@@ -37,6 +37,7 @@
 	for s := firstRealTime; s <= lastRealTime; s++ {
 		signal.Notify(signals, s)
 	}
+	logRealTimeMinimum(ctx, note)
 	go func() {
 		for {
 			select {
--- a/cmd/indigotack/signals_test.go
+++ b/cmd/indigotack/signals_test.go
@@ -76,7 +76,7 @@
 func TestSignalsThatAskNothing(t *testing.T) {
 	for _, s := range []syscall.Signal{syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGALRM, syscall.SIGVTALRM, syscall.SIGPROF, syscall.SIGPIPE,
 		syscall.SIGCHLD, syscall.SIGCONT, syscall.SIGTSTP, syscall.SIGTTIN, syscall.SIGTTOU, syscall.SIGWINCH, syscall.SIGURG, syscall.SIGIO,
-		syscall.SIGPWR, syscall.SIGXCPU, syscall.SIGXFSZ, 35, 64} {
+		syscall.SIGPWR, syscall.SIGXCPU, syscall.SIGXFSZ, 34, 35, 64} {
 		t.Run(fmt.Sprint(int(s), "_", unix.SignalName(s)), func(t *testing.T) {
 			t.Parallel()
 			cmd, listen, said, answer := nodeWithRequestInHand(t)
@@ -95,7 +95,7 @@
 			switch s {
 			case syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGALRM, syscall.SIGTSTP, syscall.SIGCONT, syscall.SIGXCPU, syscall.SIGPWR:
 				awaitLogged(t, said, `msg="signal received" node=n0 reason=`+unix.SignalName(s))
-			case 35, 64:
+			case 34, 35, 64:
 				awaitLogged(t, said, fmt.Sprintf(`msg="signal received" node=n0 reason="signal %d"`, int(s)))
 			}
 		})
