Keep datagrams that are no peer's from filling a sidecar's log

A thousand datagrams that were no peer's left 998 warnings within a third of a second. The library's lines are passed on at five a second of a level now, with the number of those left out; the view is not changed by them.

Seen failing before: TestGarbageLeavesALineAndNoMore ("998 lines").

--- /dev/null
+++ b/internal/peers/garbage_test.go
@@ -0,0 +1,65 @@
+package peers
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// keptLog is what a node has logged.
+type keptLog struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (k *keptLog) Write(b []byte) (int, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.text.Write(b)
+}
+
+// lines are those at the level of warnings.
+func (k *keptLog) lines() (all []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for line := range strings.Lines(k.text.String()) {
+		if strings.Contains(line, "level=WARN") {
+			all = append(all, line)
+		}
+	}
+	return all
+}
+
+// TestGarbageLeavesALineAndNoMore guards against datagrams that are no peer's: they leave a trace, fill no log, and change no view.
+func TestGarbageLeavesALineAndNoMore(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	log, at := &keptLog{}, ownAddress()
+	p, err := Start(ctx, testConfig("a", at, t.TempDir(), nil), slog.New(slog.NewTextHandler(log, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	member(t, "b", nil, at.String())
+	c, err := net.Dial("udp", at.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	began := time.Now()
+	for i := range 500 {
+		fmt.Fprintf(c, "GET /admin/quiesce HTTP/1.1 %d", i)
+		c.Write([]byte{byte(i)})
+	}
+	until(t, "a view of both", func(all []Snapshot) bool { return len(all[0].Members) == 2 }, p)
+	most := linesPerSecond * (2 + int(time.Since(began).Seconds()))
+	lines := log.lines()
+	if len(lines) == 0 || len(lines) > most || !strings.Contains(strings.Join(lines, ""), c.LocalAddr().String()) {
+		t.Errorf("%d lines tell of garbage from %v, want one and up to %d:\n%s", len(lines), c.LocalAddr(), most, strings.Join(lines, ""))
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -23,6 +23,7 @@
 	"github.com/hashicorp/memberlist"
 
 	"indigotack/internal/clock"
+	"indigotack/internal/eventlog"
 	"indigotack/internal/view"
 )
 
@@ -136,7 +137,7 @@
 	p.mu.Lock()
 	self := p.view.Self()
 	p.mu.Unlock()
-	logger := log.New(lineWriter{p.log}, "", 0)
+	logger := log.New(lineWriter{p.log, eventlog.NewLimiter(linesPerSecond)}, "", 0)
 	t, err := newTransport(p.cfg.Listen, logger)
 	if err != nil {
 		return err
@@ -659,8 +660,15 @@
 	return s
 }
 
+// linesPerSecond is how many lines of one level the library's log may have: it has
+// one for each datagram that it can't read.
+const linesPerSecond = 5
+
 // lineWriter passes the library's log lines on, whose level stands in brackets.
-type lineWriter struct{ log *slog.Logger }
+type lineWriter struct {
+	log     *slog.Logger
+	limiter *eventlog.Limiter
+}
 
 func (w lineWriter) Write(b []byte) (int, error) {
 	line := strings.TrimSpace(string(b))
@@ -671,6 +679,12 @@
 	case strings.HasPrefix(line, "[WARN]"):
 		level = slog.LevelInfo
 	}
-	w.log.Log(context.Background(), level, line)
+	passes, suppressed := w.limiter.Allow(level.String(), time.Now())
+	switch {
+	case passes && suppressed > 0:
+		w.log.Log(context.Background(), level, line, "suppressed", suppressed)
+	case passes:
+		w.log.Log(context.Background(), level, line)
+	}
 	return len(b), nil
 }
