Log what comes to peer_listen, where this node hears nobody

A platform names an address for datagrams between nodes; this node opened no socket there, so that what came left no trace at all. Nothing is answered. Seen missing before: no socket was open there.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -25,6 +25,7 @@
 	Listen    string            // where clients connect
 	Discovery string            // where the list of servers comes from
 	Operators []OperatorAddress // where operators are answered beside Listen
+	Peer      string            // where datagrams of other nodes would come; "": nowhere
 	Seed      int64
 	MemoryMB  int
 	Sockets   int // file descriptors
@@ -77,6 +78,7 @@
 			MemoryMB int `json:"memory_mb"`
 			Sockets  int `json:"sockets"`
 		} `json:"limits"`
+		Peer     lenientText     `json:"peer_listen"`
 		Known    list            `json:"known"`
 		Settings json.RawMessage `json:"settings"`
 	}
@@ -99,7 +101,7 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("seed: %w", err)
 	}
-	c := Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Seed: int64(seed),
+	c := Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Peer: string(in.Peer), Seed: int64(seed),
 		MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets, Settings: settings, known: in.Known}
 	if c.MemoryMB <= 0 {
 		c.MemoryMB = defaultMemoryMB
@@ -112,3 +114,16 @@
 	}
 	return c, nil
 }
+
+// lenientText is a text that must not keep a configuration from being read:
+// where something else stands, it is that as it is written.
+type lenientText string
+
+func (t *lenientText) UnmarshalJSON(raw []byte) error {
+	var text string
+	if json.Unmarshal(raw, &text) != nil {
+		text = string(raw)
+	}
+	*t = lenientText(text)
+	return nil
+}
--- /dev/null
+++ b/internal/node/datagrams_test.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+)
+
+// TestDatagramsLeaveALine guards against what comes to peer_listen and leaves no trace.
+func TestDatagramsLeaveALine(t *testing.T) {
+	log := &lockedBuffer{}
+	held, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := held.LocalAddr().String()
+	held.Close()
+	o := newObserver(slog.New(slog.NewTextHandler(log, nil)))
+	go o.noteDatagrams(t.Context(), address)
+	c, err := net.Dial("udp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	want := []string{`said="POST /admin/quiesce"`, "client=" + c.LocalAddr().String(), "reason=datagram"}
+	waitUntil(t, "a line", func() bool {
+		fmt.Fprint(c, "POST /admin/quiesce\nrest") // the node may not listen yet
+		for _, part := range want {
+			if !strings.Contains(log.String(), part) {
+				return false
+			}
+		}
+		return true
+	})
+	if count, newest := o.unread.take(); count == 0 || newest != "POST /admin/quiesce" {
+		t.Errorf("%d are counted, the newest %q", count, newest)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -131,6 +131,9 @@
 	defer stop()
 	go n.summarize(n.ended)
 	go n.logState()
+	if n.cfg.Peer != "" {
+		go n.noteDatagrams(n.ctx, n.cfg.Peer)
+	}
 	n.cfg.known.note(n.log)
 	n.post(func() { n.follow(n.cfg.known.Entries, n.cfg.known.Index, decide.ListCached) })
 	if !n.cfg.Settings.AskForList {
--- a/internal/node/unread.go
+++ b/internal/node/unread.go
@@ -23,6 +23,7 @@
 	unreadHalf        = "half_head"
 	unreadSilent      = "silent"
 	unreadNoRoom      = "no_room"
+	unreadDatagram    = "datagram"
 )
 
 // unreadReasons are the reasons of net/http's own answers, by what these say.
@@ -55,6 +56,7 @@
 	whyBroken   = "its client broke it"
 	whyClosed   = "closed by the node"
 	whyNoRoom   = "no room for a connection"
+	whyDatagram = "nodes tell one another nothing here"
 )
 
 // whyEnded is why a connection is closed whose last read ended with err.
