Log keys of discovery's lists that the node does not know, and redirections

Both were passed over, or followed, in silence: a list under another key than "endpoints" looked like an empty one, and a call could end at an address that no configuration names.

Seen missing before: the log of TestWhatDiscoverySaysAndIsNotKnownLeavesALine had neither line.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -24,6 +25,7 @@
 
 	patientAfter   = 2  // calls that fell silent, before later ones are given more time
 	mostUnanswered = 10 // beyond so many they are given no more
+	mostRedirects  = 10 // of one call
 )
 
 // Errors of calls that were given up.
@@ -36,6 +38,8 @@
 	errStood = errors.New("this process stood still")
 )
 
+var errRedirects = errors.New("discovery redirects too often")
+
 // errRestarted is of an answer with changes whose version is lower than the one
 // that they were asked from: discovery counts anew, and what it has to tell of
 // the versions before stands in its whole list alone.
@@ -53,6 +57,7 @@
 	answered atomic.Pointer[time.Time] // when a call was answered last; nil: none was yet
 	index    uint64                    // 0: none yet, so that the whole list is asked for
 	names    map[string]bool           // listed, but for those gone
+	unknown  map[string]bool           // keys of lists that the log has told of, up to mostUnknown
 	asking   bool                      // for a second opinion
 	listed   func(list)
 	failed   func()
@@ -67,10 +72,11 @@
 }
 
 func newDiscovery(address string, times listTimes, o *observer, listed func(list), failed func()) *discovery {
-	return &discovery{url: "http://" + address + "/registry/instances", times: times, observer: o, listed: listed, failed: failed,
-		ended: make(chan struct{}), names: map[string]bool{},
-		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1,
-			DialContext: (&net.Dialer{Timeout: times.dial, ControlContext: beginConnect}).DialContext}}}
+	d := &discovery{url: "http://" + address + "/registry/instances", times: times, observer: o, listed: listed, failed: failed,
+		ended: make(chan struct{}), names: map[string]bool{}}
+	d.client = &http.Client{CheckRedirect: d.redirected, Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1,
+		DialContext: (&net.Dialer{Timeout: times.dial, ControlContext: beginConnect}).DialContext}}
+	return d
 }
 
 // patience is how long a call may wait for what.
@@ -150,6 +156,7 @@
 		return fmt.Errorf("discovery's list: %w", err)
 	}
 	l.note(d.log)
+	d.noteUnknown(&l)
 	if !l.Snapshot && l.Index < d.index {
 		d.index = 0
 		return errRestarted
@@ -172,6 +179,30 @@
 	return nil
 }
 
+// noteUnknown logs each key of lists that says nothing to the node once.
+func (d *discovery) noteUnknown(l *list) {
+	for _, key := range l.unknown {
+		if d.unknown[key] || len(d.unknown) >= mostUnknown {
+			continue
+		}
+		if d.unknown == nil {
+			d.unknown = map[string]bool{}
+		}
+		d.unknown[key] = true
+		d.note(slog.LevelWarn, "unknown key in discovery's list, passed over", eventList, "unknown_key", "key", shortened(key))
+	}
+}
+
+// redirected logs where discovery sends a call. As for http.Client without a
+// policy of its own, ten times are too many.
+func (d *discovery) redirected(req *http.Request, via []*http.Request) error {
+	d.note(slog.LevelInfo, "discovery sends a call elsewhere", eventDiscovery, "redirected", "address", req.URL.Host)
+	if len(via) >= mostRedirects {
+		return errRedirects
+	}
+	return nil
+}
+
 // saysNothing tells whether a list changes nothing, as an agent's answer to a
 // watch whose time is over. Others' lists tell the module that its call was answered.
 func (d *discovery) saysNothing(l *list) bool {
--- a/internal/node/list.go
+++ b/internal/node/list.go
@@ -27,7 +27,8 @@
 	Snapshot bool
 	Entries  []entry
 	refused  int
-	why      []error // of the first ones refused
+	why      []error  // of the first ones refused
+	unknown  []string // keys that say nothing to the node, up to mostUnknown
 }
 
 // UnmarshalJSON is decode for a text at hand.
@@ -60,6 +61,9 @@
 		case "endpoints":
 			err = l.entries(d)
 		default:
+			if name, is := key.(string); is && len(l.unknown) < mostUnknown {
+				l.unknown = append(l.unknown, name)
+			}
 			var skipped json.RawMessage
 			err = d.Decode(&skipped)
 		}
