Fold the tests' twins for logs, crowds and lines that a program says

Three buffers for logs, two crowds of clients and four waits for a line of the log stood in test files. They are one each: standin.LogBuffer, standin.Crowd and keptLines.

--- a/cmd/indigotack/admin_test.go
+++ b/cmd/indigotack/admin_test.go
@@ -26,24 +26,6 @@
 		"known":{"index":1,"endpoints":[{"name":"s","address":%q,"status":"ready"}]}}`, listen, listen, keys, listen))
 }
 
-// awaitLine reads what a program says until a line has the text.
-func awaitLine(t *testing.T, said <-chan string, text string) {
-	t.Helper()
-	for timeout := time.After(30 * time.Second); ; {
-		select {
-		case line, open := <-said:
-			if !open {
-				t.Fatalf("the program ends and has not said %q", text)
-			}
-			if strings.Contains(line, text) {
-				return
-			}
-		case <-timeout:
-			t.Fatalf("the program does not say %q", text)
-		}
-	}
-}
-
 // orderNode gives a node an order and reads its answer; the status is 0 if there is none.
 func orderNode(t *testing.T, address, path string) (status int, s node.Status) {
 	t.Helper()
--- a/cmd/indigotack/descriptors_test.go
+++ b/cmd/indigotack/descriptors_test.go
@@ -2,18 +2,19 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
-	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"indigotack/internal/standin"
 )
 
 const (
@@ -23,7 +24,7 @@
 
 // TestOperatorsAreHeardWithoutDescriptors guards against a node that has no answer for operators while clients hold all of its process's descriptors.
 func TestOperatorsAreHeardWithoutDescriptors(t *testing.T) {
-	const post = "POST /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: q%d\r\nX-Class: page\r\nX-Deadline: 20\r\nContent-Length: 9\r\n\r\n"
+	const post = "POST /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: qID\r\nX-Class: page\r\nX-Deadline: 20\r\nContent-Length: 9\r\n\r\n"
 	for name, say := range map[string]string{"half bodies": post + "hal", "requests at a hung server": post + "half half"} {
 		t.Run(name, func(t *testing.T) {
 			listen, operators, pid := startHung(t)
@@ -64,40 +65,12 @@
 // fill has many clients connect and say something, each again as its connection ends, until the test does.
 func fill(t *testing.T, address, say string) {
 	t.Helper()
-	var id atomic.Int64
-	var clients sync.WaitGroup
-	stopped := make(chan struct{})
-	t.Cleanup(func() { close(stopped); clients.Wait() })
-	once := func() {
-		c, err := net.Dial("tcp", address)
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		ended := make(chan struct{})
-		go func() {
-			defer close(ended)
-			fmt.Fprintf(c, say, id.Add(1))
-			io.Copy(io.Discard, c)
-		}()
-		select {
-		case <-ended:
-		case <-stopped:
-		}
-	}
-	const count, pause = 4 * descriptorLimit, 500 * time.Millisecond
-	for i := range count {
-		clients.Go(func() {
-			for wait := pause * time.Duration(i) / count; ; wait = pause {
-				select {
-				case <-stopped:
-					return
-				case <-time.After(wait):
-				}
-				once()
-			}
-		})
+	ended := func(c net.Conn) bool {
+		c.SetReadDeadline(time.Now().Add(time.Millisecond))
+		_, err := c.Read(make([]byte, 4096))
+		return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 	}
+	t.Cleanup(standin.Crowd{Address: address, Say: say, Clients: 4 * descriptorLimit, Pause: 500 * time.Millisecond, Ended: ended}.Gather())
 }
 
 // waitUntilFull waits until a process has no descriptor left but one that it may keep spare.
--- a/cmd/indigotack/drainnode_test.go
+++ b/cmd/indigotack/drainnode_test.go
@@ -189,18 +189,8 @@
 // awaitLine waits until the program says a line that contains text.
 func (n *drainNode) awaitLine(t *testing.T, text string, most time.Duration) {
 	t.Helper()
-	for timeout := time.After(most); ; {
-		select {
-		case line, open := <-n.said:
-			if strings.Contains(line, text) {
-				return
-			}
-			if !open {
-				t.Fatalf("the program ends and has not said %q", text)
-			}
-		case <-timeout:
-			t.Fatalf("the program does not say %q", text)
-		}
+	if !says(n.said, text, most) {
+		t.Fatalf("the program does not say %q", text)
 	}
 }
 
--- a/cmd/indigotack/forms_test.go
+++ b/cmd/indigotack/forms_test.go
@@ -122,34 +122,3 @@
 	}
 	return true
 }
-
-// keptLines are the lines that a program has said so far.
-type keptLines struct {
-	said <-chan string
-	kept []string
-}
-
-func keepLines(said <-chan string) *keptLines { return &keptLines{said: said} }
-
-// await waits for a line, among all so far and those that come within a time.
-func (l *keptLines) await(is func(string) bool, most time.Duration) bool {
-	for _, line := range l.kept {
-		if is(line) {
-			return true
-		}
-	}
-	for timeout := time.After(most); ; {
-		select {
-		case line, open := <-l.said:
-			if !open {
-				return false
-			}
-			l.kept = append(l.kept, line)
-			if is(line) {
-				return true
-			}
-		case <-timeout:
-			return false
-		}
-	}
-}
--- a/cmd/indigotack/signals_test.go
+++ b/cmd/indigotack/signals_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"net/http/httptest"
 	"os/exec"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -52,25 +51,6 @@
 	}
 }
 
-func awaitLogged(t *testing.T, said <-chan string, text string) {
-	t.Helper()
-	for timeout := time.After(5 * time.Second); ; {
-		select {
-		case line, open := <-said:
-			if strings.Contains(line, text) {
-				return
-			}
-			if !open {
-				t.Errorf("the program ends and has not said %q", text)
-				return
-			}
-		case <-timeout:
-			t.Errorf("the program does not say %q", text)
-			return
-		}
-	}
-}
-
 // TestSignalsThatAskNothing: neither the program nor its request in hand ends
 // by a signal that has no meaning to it, and the log tells which came.
 func TestSignalsThatAskNothing(t *testing.T) {
@@ -94,9 +74,9 @@
 			}
 			switch s {
 			case syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGALRM, syscall.SIGTSTP, syscall.SIGCONT, syscall.SIGXCPU, syscall.SIGPWR:
-				awaitLogged(t, said, `msg="signal received" node=n0 reason=`+unix.SignalName(s))
+				checkSaid(t, said, `msg="signal received" node=n0 reason=`+unix.SignalName(s))
 			case 34, 35, 64:
-				awaitLogged(t, said, fmt.Sprintf(`msg="signal received" node=n0 reason="signal %d"`, int(s)))
+				checkSaid(t, said, fmt.Sprintf(`msg="signal received" node=n0 reason="signal %d"`, int(s)))
 			}
 		})
 	}
@@ -116,7 +96,7 @@
 			if status := <-answer; status != http.StatusOK {
 				t.Errorf("the request in hand is answered %d", status)
 			}
-			awaitLogged(t, said, "connections ended")
+			checkSaid(t, said, "connections ended")
 			if err := cmd.Wait(); err != nil {
 				t.Errorf("it ends with %v, want status 0", err)
 			}
--- a/internal/node/datagrams_test.go
+++ b/internal/node/datagrams_test.go
@@ -6,11 +6,13 @@
 	"net"
 	"strings"
 	"testing"
+
+	"indigotack/internal/standin"
 )
 
 // TestDatagramsLeaveALine guards against what comes to peer_listen and leaves no trace.
 func TestDatagramsLeaveALine(t *testing.T) {
-	log := &lockedBuffer{}
+	log := &standin.LogBuffer{}
 	held, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/discoverykeys_test.go
+++ b/internal/node/discoverykeys_test.go
@@ -7,6 +7,8 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+
+	"indigotack/internal/standin"
 )
 
 // TestWhatDiscoverySaysAndIsNotKnownLeavesALine guards against keys of lists, and redirections, that leave no trace.
@@ -19,7 +21,7 @@
 		fmt.Fprint(w, `{"index":1,"snapshot":true,"instances":[{"name":"secret"}],"endpoints":[]}`)
 	}))
 	defer disc.Close()
-	log := &lockedBuffer{}
+	log := &standin.LogBuffer{}
 	d := newDiscovery(disc.Listener.Addr().String(), watchTimes(planLists(agent, enough)), newObserver(slog.New(slog.NewTextHandler(log, nil))), func(list) {}, func() {})
 	for range 3 {
 		if err := d.fetch(t.Context()); err != nil {
--- a/internal/node/extra_test.go
+++ b/internal/node/extra_test.go
@@ -8,8 +8,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -19,6 +17,7 @@
 	"indigotack/internal/appconfig"
 	"indigotack/internal/faultnet"
 	"indigotack/internal/lifecycle"
+	"indigotack/internal/standin"
 )
 
 const (
@@ -31,38 +30,8 @@
 // connection ends, until the test does.
 func crowd(t *testing.T, n *running, say string) {
 	t.Helper()
-	stopped := make(chan struct{})
-	var clients sync.WaitGroup
-	var id atomic.Int64
-	t.Cleanup(func() { close(stopped); clients.Wait() })
-	once := func() {
-		c, err := net.Dial("tcp", n.address)
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		c.(*net.TCPConn).SetReadBuffer(2048)
-		io.WriteString(c, strings.Replace(say, "ID", fmt.Sprint(id.Add(1)), 1))
-		for polled(rawOf(c), unix.POLLRDHUP) == 0 {
-			select {
-			case <-stopped:
-				return
-			case <-time.After(50 * time.Millisecond):
-			}
-		}
-	}
-	for i := range crowdSize {
-		clients.Go(func() {
-			for pause := crowdPause * time.Duration(i) / crowdSize; ; pause = crowdPause {
-				select {
-				case <-stopped:
-					return
-				case <-time.After(pause):
-				}
-				once()
-			}
-		})
-	}
+	ended := func(c net.Conn) bool { return polled(rawOf(c), unix.POLLRDHUP) != 0 }
+	t.Cleanup(standin.Crowd{Address: n.address, Say: say, Clients: crowdSize, Pause: crowdPause, Ended: ended}.Gather())
 }
 
 // order gives an operator's order on a connection of its own and fails unless it is answered in time.
--- a/internal/node/observer_test.go
+++ b/internal/node/observer_test.go
@@ -1,39 +1,20 @@
 package node
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 
 	"indigotack/decide"
+	"indigotack/internal/standin"
 )
 
-// lockedBuffer is a log that several goroutines write.
-type lockedBuffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (b *lockedBuffer) Write(line []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(line)
-}
-
-func (b *lockedBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.String()
-}
-
 // TestLogTellsWhatBecameOfARequest: by its id, with the attempts and why they failed.
 func TestLogTellsWhatBecameOfARequest(t *testing.T) {
-	log := &lockedBuffer{}
+	log := &standin.LogBuffer{}
 	n := startNode(t, refusing(t))
 	n.onLoop(t, func() { n.observer.log = slog.New(slog.NewTextHandler(log, nil)) })
 	resp, err := http.DefaultClient.Do(n.request(t, "GET", "saldo", "the-id", "5", nil))
@@ -53,7 +34,7 @@
 
 // TestLogTellsChangesOfTheList, and not what stays the same, such as weights.
 func TestLogTellsChangesOfTheList(t *testing.T) {
-	log := &lockedBuffer{}
+	log := &standin.LogBuffer{}
 	n := New(testConfig("127.0.0.1:1"), slog.New(slog.NewTextHandler(log, nil)))
 	list := func(version int, kind decide.ListKind, entries ...string) string {
 		before := len(log.String())
--- a/internal/node/sidecar_test.go
+++ b/internal/node/sidecar_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -22,6 +21,7 @@
 
 	"indigotack/internal/appconfig"
 	"indigotack/internal/lifecycle"
+	"indigotack/internal/standin"
 )
 
 // beside is a sidecar under test, with the files that it runs from.
@@ -30,28 +30,11 @@
 	t    *testing.T
 	dir  string
 	base string // of its URLs
-	log  *logBuffer
+	log  *standin.LogBuffer
 	stop context.CancelFunc
 	done chan error
 }
 
-type logBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (l *logBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-func (l *logBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
-}
-
 const sideHead = "version = 1\nname = \"test\"\n[listen]\naddress = \"127.0.0.1:9\"\n[servers]\nfile = \"servers.toml\"\n"
 
 // listed is a file of servers: name, address and zone of each.
@@ -65,7 +48,7 @@
 
 func startSidecar(t *testing.T, app, servers string) *beside {
 	t.Helper()
-	b := &beside{t: t, dir: t.TempDir(), log: &logBuffer{}, done: make(chan error, 1)}
+	b := &beside{t: t, dir: t.TempDir(), log: &standin.LogBuffer{}, done: make(chan error, 1)}
 	b.write("servers.toml", servers)
 	b.write("app.toml", sideHead+app)
 	a, err := appconfig.Load(b.path("app.toml"))
--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -10,13 +10,14 @@
 
 	"indigotack/decide"
 	"indigotack/internal/appconfig"
+	"indigotack/internal/standin"
 )
 
 // TestLogTellsTheNodesState: what an operator needs beside a request that went
 // to the wrong server: which list the node had, how old its news were, which
 // servers drained, and whether the node itself was told to end.
 func TestLogTellsTheNodesState(t *testing.T) {
-	log := &lockedBuffer{}
+	log := &standin.LogBuffer{}
 	n := New(testConfig("127.0.0.1:1"), slog.New(slog.NewTextHandler(log, nil)))
 	stop := n.run(t.Context())
 	defer stop()
@@ -53,7 +54,7 @@
 // TestLogTellsWhoDrainedTheNode: the regular line has the phase's reason while
 // a drain lasts, and none after it.
 func TestLogTellsWhoDrainedTheNode(t *testing.T) {
-	log := &lockedBuffer{}
+	log := &standin.LogBuffer{}
 	n := New(testConfig("127.0.0.1:1"), slog.New(slog.NewTextHandler(log, nil)))
 	stop := n.run(t.Context())
 	defer stop()
--- a/internal/node/unknown_test.go
+++ b/internal/node/unknown_test.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"testing"
+
+	"indigotack/internal/standin"
 )
 
 // loggedUnknown loads a configuration and gives the lines that warn of what is unknown.
@@ -21,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	log := &lockedBuffer{}
+	log := &standin.LogBuffer{}
 	c.LogUnknown(slog.New(slog.NewTextHandler(log, nil)))
 	return strings.Split(strings.TrimSuffix(log.String(), "\n"), "\n")
 }
--- a/internal/peers/garbage_test.go
+++ b/internal/peers/garbage_test.go
@@ -1,34 +1,20 @@
 package peers
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
 	"net"
 	"strings"
-	"sync"
 	"testing"
 	"time"
-)
-
-// keptLog is what a node has logged.
-type keptLog struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
 
-func (k *keptLog) Write(b []byte) (int, error) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.text.Write(b)
-}
+	"indigotack/internal/standin"
+)
 
-// lines are those at the level of warnings.
-func (k *keptLog) lines() (all []string) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	for line := range strings.Lines(k.text.String()) {
+// warnings are the lines of a log at that level.
+func warnings(log *standin.LogBuffer) (all []string) {
+	for line := range strings.Lines(log.String()) {
 		if strings.Contains(line, "level=WARN") {
 			all = append(all, line)
 		}
@@ -40,7 +26,7 @@
 func TestGarbageLeavesALineAndNoMore(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	log, at := &keptLog{}, ownAddress()
+	log, at := &standin.LogBuffer{}, ownAddress()
 	p, err := Start(ctx, testConfig("a", at, t.TempDir(), nil), slog.New(slog.NewTextHandler(log, nil)))
 	if err != nil {
 		t.Fatal(err)
@@ -58,7 +44,7 @@
 	}
 	until(t, "a view of both", func(all []Snapshot) bool { return len(all[0].Members) == 2 }, p)
 	most := linesPerSecond * (2 + int(time.Since(began).Seconds()))
-	lines := log.lines()
+	lines := warnings(log)
 	if len(lines) == 0 || len(lines) > most || !strings.Contains(strings.Join(lines, ""), c.LocalAddr().String()) {
 		t.Errorf("%d lines tell of garbage from %v, want one and up to %d:\n%s", len(lines), c.LocalAddr(), most, strings.Join(lines, ""))
 	}
