End the connection of each operators' call with its answer

A script of sockets that reads to the end of the connection had no end for 4 s after a status or a resume that it had not asked to close, which it may take for no answer. The word mgmt counts as management in names of addresses.

--- a/cmd/indigotack/drainnode_test.go
+++ b/cmd/indigotack/drainnode_test.go
@@ -299,6 +299,9 @@
 			return fmt.Sprintf("answer %q has no %s", got.body, name)
 		}
 	}
+	if !got.closes {
+		return fmt.Sprintf("%v, want the connection's end", got)
+	}
 	if got.took > machineSlack {
 		return fmt.Sprintf("answer after %v, want it at once", got.took)
 	}
--- a/internal/node/adminaddress.go
+++ b/internal/node/adminaddress.go
@@ -46,7 +46,7 @@
 // Names that say that something is an address of operators consist of these
 // words, however they are written together.
 const (
-	roleWords    = `admin|operators|operator|ops|control|management`
+	roleWords    = `admin|operators|operator|ops|control|management|mgmt`
 	addressWords = `listen|address|addr|bind|port`
 )
 
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -81,8 +81,8 @@
 // at once: it waits neither for the event loop, nor for what the order begins,
 // nor for a body.
 func (f *frontend) answerOperator(w http.ResponseWriter, r *http.Request, at string) {
+	w.Header().Set("Connection", "close") // as a script may read to the end
 	if r.ContentLength != 0 {
-		w.Header().Set("Connection", "close")
 		http.NewResponseController(w).SetReadDeadline(time.Now().Add(dregsTime)) // fails only on a closed connection
 	}
 	path := appconfig.CleanPath(r.URL.Path)
@@ -127,9 +127,6 @@
 	if status == http.StatusConflict {
 		s.Reason = "the node was told to end, which a resume does not undo"
 	}
-	if f.closing(r) { // maybe only since this order
-		w.Header().Set("Connection", "close")
-	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	json.NewEncoder(w).Encode(s) // fails only if the operator has gone
