Have the state line tell the newest thing refused that said something, and why

With many silent connections the newest was an empty text. It is now that of the newest that said something, behind its reason. TestWhatIsRefusedLeavesALine looks for one of the forms that it sent, with its reason, in a regular line.

--- a/cmd/indigotack/forms_test.go
+++ b/cmd/indigotack/forms_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -84,12 +85,19 @@
 		t.Error("a header's value is logged")
 	}
 	if !lines.await(func(line string) bool {
-		return strings.Contains(line, "msg=state") && strings.Contains(line, "unread=") && strings.Contains(line, "unread_newest=")
+		return strings.Contains(line, "msg=state") && strings.Contains(line, "unread=") && tellsOfOne(line)
 	}, 3*time.Second) {
 		t.Error("no regular line tells what was refused unread")
 	}
 }
 
+// tellsOfOne tells whether a regular line has one of the refused forms as the newest, with its reason.
+func tellsOfOne(line string) bool {
+	return slices.ContainsFunc(standin.RefusedForms, func(c standin.RefusedForm) bool {
+		return c.Said != "" && strings.Contains(line, fmt.Sprintf("unread_newest=%q", c.Reason+": "+c.Said))
+	})
+}
+
 // TestStateLineTellsOfOperators guards against a log of regular lines from which no report can tell whether operators' calls came.
 func TestStateLineTellsOfOperators(t *testing.T) {
 	n := newDrainNode(t)
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -322,7 +322,7 @@
 // writes, as the server still reads.
 func (c *clientConn) refuse() {
 	c.refused, c.accounted = true, true
-	c.of.unread.add(c.head.text())
+	c.of.unread.add(c.head.text(), unreadHalf)
 	c.of.observer.note(slog.LevelInfo, "half a request refused", eventRequest, "refused_unfinished", "client", c.RemoteAddr(), "said", c.head.text())
 	c.Conn.SetWriteDeadline(time.Now().Add(refuseWriteTime))
 	if _, err := c.Conn.Write([]byte(refusal)); err == nil {
--- a/internal/node/datagrams_test.go
+++ b/internal/node/datagrams_test.go
@@ -36,7 +36,7 @@
 		}
 		return true
 	})
-	if count, newest := o.unread.take(); count == 0 || newest != "POST /admin/quiesce" {
+	if count, newest := o.unread.take(); count == 0 || newest != "datagram: POST /admin/quiesce" {
 		t.Errorf("%d are counted, the newest %q", count, newest)
 	}
 }
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -31,7 +31,7 @@
 	calls        []string // of operators since the start, by the address that heard them
 	unknownNames []string // of the configuration and the environment
 	unread       int      // connections and requests that were refused or closed before a request was taken, since the last line
-	unreadNewest string   // what the newest of them began with
+	unreadNewest string   // what the newest of them that said something began with, and why it was refused
 }
 
 // attributes gives the state as attributes of a line of the log.
@@ -54,7 +54,10 @@
 		all = append(all, "unknown_names", s.unknownNames)
 	}
 	if s.unread > 0 {
-		all = append(all, "unread", s.unread, "unread_newest", s.unreadNewest)
+		all = append(all, "unread", s.unread)
+	}
+	if s.unreadNewest != "" {
+		all = append(all, "unread_newest", s.unreadNewest)
 	}
 	return all
 }
--- a/internal/node/unread.go
+++ b/internal/node/unread.go
@@ -74,21 +74,25 @@
 }
 
 // unreadLog counts what was refused or closed before a request was taken, and
-// keeps what the newest began with. It is safe for concurrent use.
+// keeps what the newest began with of those that said something, with the reason.
+// It is safe for concurrent use.
 type unreadLog struct {
 	mu     sync.Mutex
 	count  int
 	newest string
 }
 
-func (u *unreadLog) add(said string) {
+func (u *unreadLog) add(said, reason string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.count++
-	u.newest = said
+	if said != "" {
+		u.newest = reason + ": " + said
+	}
 }
 
-// take gives the number since it was last called, and what the newest began with.
+// take gives the number since it was last called, and the newest; "" if none has
+// said anything.
 func (u *unreadLog) take() (count int, newest string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -99,6 +103,6 @@
 
 // noteUnread counts and logs what was refused or closed before a request was taken.
 func (o *observer) noteUnread(client net.Addr, said, why, reason string) {
-	o.unread.add(said)
+	o.unread.add(said, reason)
 	o.note(slog.LevelInfo, "refused or closed before a request was taken", eventUnread, reason, "client", client, "said", said, "why", why)
 }
