--- a/internal/lifecycle/connection.go
+++ b/internal/lifecycle/connection.go
@@ -56,6 +56,7 @@
 	Accepted time.Time
 	Heard    time.Time // its last bytes came then, or it was made, maybe long before it was accepted
 	Unread   bool      // bytes have come that nobody has read
+	Client   bool      // what has come is the beginning of a client's request, which is refused anyway
 	Owed     bool      // a request's whole head has been read, and nothing of its answer is written
 }
 
@@ -70,7 +71,8 @@
 func ExtraPhase(now, accepted time.Time) Phase { return extraConnection.phase(now.Sub(accepted), true) }
 
 // ExtraMayGiveWay tells whether an extra connection may be closed for a newer
-// one. A request comes with its connection or right behind it.
+// one. A request comes with its connection or right behind it, and is waited for
+// while it may be an operator's or a health check.
 func ExtraMayGiveWay(now time.Time, c Extra) bool {
-	return !c.Unread && !c.Owed && now.Sub(earlier(c.Accepted, c.Heard)) >= SpareTime
+	return !c.Unread && !c.Owed && (c.Client || now.Sub(earlier(c.Accepted, c.Heard)) >= SpareTime)
 }
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -143,6 +143,9 @@
 		{"trickles", Extra{Accepted: short, Heard: now}, true},
 		{"unread", Extra{Accepted: short, Heard: short, Unread: true}, false},
 		{"owed an answer", Extra{Accepted: short, Heard: short, Owed: true}, false},
+		{"half a client's request", Extra{Accepted: fresh, Heard: fresh, Client: true}, true},
+		{"a client's request, unread", Extra{Accepted: fresh, Heard: fresh, Client: true, Unread: true}, false},
+		{"a client that is owed an answer", Extra{Accepted: fresh, Heard: fresh, Client: true, Owed: true}, false},
 	} {
 		if got := ExtraMayGiveWay(now, c.extra); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
--- a/internal/node/extra.go
+++ b/internal/node/extra.go
@@ -67,7 +67,8 @@
 
 // extraNow is what is known of an extra connection. The caller holds of.mu.
 func (c *clientConn) extraNow() lifecycle.Extra {
-	return lifecycle.Extra{Accepted: c.accepted, Heard: client{c}.spokeAt(), Unread: c.pending(), Owed: c.whole}
+	return lifecycle.Extra{Accepted: c.accepted, Heard: client{c}.spokeAt(), Unread: c.pending(), Owed: c.whole,
+		Client: c.of.completesCalls && c.head.isClients()}
 }
 
 // heardExtra notes what was read of a request on an extra connection. The caller
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -39,11 +39,14 @@
 	plan   func() lifecycle.ShutdownPlan // of a stop that begins now
 	drain  func(open func() int)         // serves on until clients are asked to close
 	// read checks a request. The status goes with the error.
-	read          func(w http.ResponseWriter, r *http.Request) (*taken, int, error)
-	over          broadcast               // sent when all that is taken has to be answered
-	limited       atomic.Pointer[limited] // the listener while it serves
-	inHand        atomic.Int64            // requests that were read and have no answer yet
-	orders        ordersOnListen
+	read    func(w http.ResponseWriter, r *http.Request) (*taken, int, error)
+	over    broadcast               // sent when all that is taken has to be answered
+	limited atomic.Pointer[limited] // the listener while it serves
+	inHand  atomic.Int64            // requests that were read and have no answer yet
+	orders  ordersOnListen
+
+	operatorAddresses int // beside the one where clients connect, at least 1
+
 	tellsCounters bool   // on the address where clients connect
 	drainChanged  func() // called after a drain has begun or ended; must not wait
 }
@@ -60,7 +63,7 @@
 }
 
 func newFrontend(o *observer, most int) *frontend {
-	f := &frontend{observer: o, most: most, health: "/health", times: times{headTime, readTime, writeTime, idleTime}}
+	f := &frontend{observer: o, most: most, health: "/health", operatorAddresses: 1, times: times{headTime, readTime, writeTime, idleTime}}
 	f.drain = f.drainOn
 	f.drainChanged = func() {}
 	return f
--- a/internal/node/head.go
+++ b/internal/node/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strings"
 
 	"indigotack/internal/appconfig"
@@ -101,6 +102,20 @@
 	return appconfig.IsCall(appconfig.CleanPath(path))
 }
 
+// ownPaths begin what a platform's node answers itself, without the slash.
+var ownPaths = []string{"admin", "health", "metrics"}
+
+// isClients tells whether what has come of the first line can be neither an
+// operator's call nor a health check, as far as that can be told.
+func (h *head) isClients() bool {
+	_, target, behindMethod := bytes.Cut(h.line, []byte(" "))
+	path := strings.ToLower(strings.TrimLeft(string(target), "/"))
+	if !behindMethod || path == "" || strings.HasPrefix(path, "http") {
+		return false
+	}
+	return !slices.ContainsFunc(ownPaths, func(own string) bool { return strings.HasPrefix(path, own) || strings.HasPrefix(own, path) })
+}
+
 // text is the first line as far as it came, for the log.
 func (h *head) text() string {
 	line := bytes.TrimSuffix(h.line, []byte("\r"))
--- a/internal/node/operatorserver.go
+++ b/internal/node/operatorserver.go
@@ -6,12 +6,12 @@
 	"time"
 )
 
-// How many connections operators hold on one address of their own, ordinary and
-// extra ones. A connection carries one call. With mostOperatorAddresses they come
-// out of the descriptors that appconfig.SplitDescriptors leaves to nobody.
+// How many connections operators hold on addresses of their own, ordinary and
+// extra ones, in equal parts. A connection carries one call. They come out of the
+// descriptors that appconfig.SplitDescriptors leaves to nobody.
 const (
-	operatorConns      = 4
-	operatorExtraConns = 2
+	operatorConns      = 16
+	operatorExtraConns = 8
 )
 
 // Bounds of an operator's call.
@@ -24,8 +24,8 @@
 // name, until the server is closed. It is heard as the clients' one is: in a
 // crowd of silent connections, and without descriptors.
 func (f *frontend) serveOperators(ln net.Listener, name string, answers http.Handler) *http.Server {
-	limited := limitListener(ln, operatorConns, f.observer)
-	limited.mostExtra = operatorExtraConns
+	limited := limitListener(ln, operatorConns/f.operatorAddresses, f.observer)
+	limited.mostExtra = operatorExtraConns / f.operatorAddresses
 	limited.completesCalls = true
 	srv := f.server(limited, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		clientOf(r).take()
