--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -28,6 +28,7 @@
 	clientConnections int
 
 	operatorsAt  []string // operators' own addresses, with the names that told them
+	notAt        []string // those of them that can't be had
 	calls        []string // of operators since the start, by the address that heard them
 	unknownNames []string // of the configuration and the environment
 	unread       int      // connections and requests that were refused or closed before a request was taken, since the last line
@@ -45,6 +46,9 @@
 	if len(s.operatorsAt) > 0 {
 		all = append(all, "operators_at", s.operatorsAt)
 	}
+	if len(s.notAt) > 0 {
+		all = append(all, "operators_not_at", s.notAt)
+	}
 	if len(s.calls) > 0 {
 		all = append(all, "operator_calls", s.calls)
 	}
@@ -88,7 +92,7 @@
 	front := n.front.status()
 	s := nodeState{phase: front.State, reason: front.Reason, listVersion: n.listVersion, discoveryAnswered: n.discovery.answeredAgo(),
 		servers: len(n.entries), openRequests: len(n.requests), clientConnections: front.Connections,
-		operatorsAt: n.calls.addresses(), calls: n.calls.summary(), unknownNames: n.cfg.unknownNames()}
+		operatorsAt: n.calls.addresses(), notAt: n.calls.missing(n.cfg.Operators), calls: n.calls.summary(), unknownNames: n.cfg.unknownNames()}
 	for name, e := range n.entries {
 		if states[e.Status] == decide.Draining {
 			s.draining = append(s.draining, name)
