Judge the load generator's commands beside the machine's lateness

The command was right: it says so of runs that a busy machine spoils, and that is its exit status. The test wants exactly that status now where the command says so and the test's own process woke 10 ms late or more within the call; in all other cases what it wanted.

--- a/internal/loadctl/loadctl_test.go
+++ b/internal/loadctl/loadctl_test.go
@@ -9,8 +9,10 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"indigotack/internal/load"
+	"indigotack/internal/standin"
 )
 
 func call(args ...string) (int, string) {
@@ -19,6 +21,11 @@
 	return status, out.String() + errs.String()
 }
 
+const (
+	invalidStatus = 4                     // of runs that the generator itself was too late for
+	lateLeast     = 10 * time.Millisecond // the generator allows itself 20 ms; another thread than the test's may have waited longer
+)
+
 func TestCommands(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "ok") }))
 	defer s.Close()
@@ -27,6 +34,9 @@
 	os.WriteFile(path("access.log"), []byte("h - - [01/Dec/2026:10:00:00 +0000] \"GET /a HTTP/1.1\" 200 1\nh - - [01/Dec/2026:10:00:01 +0000] \"POST /b HTTP/1.1\" 200 1\n"), 0o600)
 	os.WriteFile(path("bad.toml"), []byte("version = 1\n"), 0o600)
 	os.WriteFile(path("full.toml"), []byte("version = 1\nmost_open = 1\n[[phase]]\nrate = 100000\nfor = \"20ms\"\n"), 0o600)
+	machine := standin.WatchLateness()
+	defer machine.Stop()
+	late := false // a run was invalid as the machine was late
 	for _, c := range []struct {
 		args string
 		want int
@@ -46,8 +56,17 @@
 		{"compare --a " + path("a.json") + "," + path("b.json") + " --b " + path("b.json") + "," + path("a.json"), 0, "within the noise"},
 		{"", 0, "open-loop"}, {"nonsense", 2, "unexpected"},
 	} {
-		if status, out := call(strings.Fields(c.args)...); status != c.want || !strings.Contains(out, c.says) {
-			t.Errorf("%s: status %d, want %d with %q:\n%s", c.args, status, c.want, c.says, out)
+		machine.Worst()
+		status, out := call(strings.Fields(c.args)...)
+		want := c.want
+		invalid := want == 0 && strings.HasPrefix(c.args, "run ") && strings.Contains(out, "late by the generator itself") && machine.Worst() >= lateLeast
+		ofInvalid := late && strings.HasPrefix(c.args, "compare ")
+		late = late || invalid && strings.Contains(c.args, "--json")
+		if invalid || ofInvalid {
+			want = invalidStatus
+		}
+		if status != want || !strings.Contains(out, c.says) {
+			t.Errorf("%s: status %d, want %d with %q:\n%s", c.args, status, want, c.says, out)
 		}
 	}
 	a, errA := load.ReadReport(path("a.json"))
