Name by their job what serves drains, stops and full nodes alike

MayCut, MayRefuse and headTime stood with drains and serve stops too; MayCloseAtShutdown, hurry and extraConnection named only one of their uses, and carryOut was the name of three things. What the log is told of a connection that ends unread stands with that log. No behaviour has changed; the counter idle_at_shutdown keeps its name.

--- a/internal/lifecycle/connection.go
+++ b/internal/lifecycle/connection.go
@@ -16,10 +16,10 @@
 	Unread bool      // bytes have come that nobody has read, which may be a request
 }
 
-// MayCloseAtShutdown tells whether an idle connection may be closed in a phase
-// of an orderly stop. A request that has begun, or lies unread, is owed an
+// MayCloseIdle tells whether an idle connection may be closed in a phase
+// of an orderly stop or a drain. A request that has begun, or lies unread, is owed an
 // answer; and one is expected on a connection that is new.
-func MayCloseAtShutdown(now time.Time, phase Phase, c Idle) bool {
+func MayCloseIdle(now time.Time, phase Phase, c Idle) bool {
 	switch {
 	case c.Begun || c.Unread:
 		return false
@@ -60,15 +60,11 @@
 	Owed     bool      // a request's whole head has been read, and nothing of its answer is written
 }
 
-// extraConnection is the plan of an extra connection, whose requests are refused
-// at once as on one that is made while the node is drained.
-var extraConnection = drainedConnection
-
 // ExtraTime is how long after its acceptance an extra connection's request has to have come.
 const ExtraTime = SpeakTime
 
 // ExtraPhase is how far the time of an extra connection has come.
-func ExtraPhase(now, accepted time.Time) Phase { return extraConnection.phase(now.Sub(accepted), true) }
+func ExtraPhase(now, accepted time.Time) Phase { return newcomerPlan.phase(now.Sub(accepted), true) }
 
 // ExtraMayGiveWay tells whether an extra connection may be closed for a newer
 // one. A request comes with its connection or right behind it, and is waited for
--- a/internal/lifecycle/drain.go
+++ b/internal/lifecycle/drain.go
@@ -11,9 +11,9 @@
 	plan  ShutdownPlan
 }
 
-// A connection that is made while the node is drained brings its request within
-// SpeakTime, as it is refused at once.
-var drainedConnection = ShutdownPlan{Answer: SpeakTime, Refuse: SpeakTime, End: SpeakTime + refuseTime}
+// newcomerPlan is that of a connection which is made while the node is drained, or
+// accepted beyond its room. Its request comes within SpeakTime, and is refused at once.
+var newcomerPlan = ShutdownPlan{Answer: SpeakTime, Refuse: SpeakTime, End: SpeakTime + refuseTime}
 
 // orderSlack is by how much an order may seem to have come before another that
 // it followed, as the kernel tells such times in ticks.
@@ -58,25 +58,6 @@
 	return ended, false
 }
 
-// headTime is for a head that has come whole to be taken, by a process that read
-// it a moment before its connection's time was over.
-const headTime = 20 * time.Millisecond
-
-// MayRefuse tells whether a request may be refused whose head has not been taken
-// so long after its connection's time was over.
-func MayRefuse(sinceOver time.Duration) bool { return sinceOver >= headTime }
-
-// MayCut tells whether a connection may be cut so long after its answer was due,
-// and after its time was over, which is when what has not come whole is refused.
-// What is owed an answer gets the time to have it written, also in a process that
-// stood still until then.
-func MayCut(sinceDue, sinceOver time.Duration, owed bool) bool {
-	if owed {
-		return sinceDue >= writeTime
-	}
-	return sinceOver >= refuseTime
-}
-
 // Drained is the drain that is in force; nil if none is.
 func (n *Node) Drained() *Drain {
 	n.mu.Lock()
@@ -108,7 +89,7 @@
 	}
 	plan, since := n.drain.plan, n.drain.Since
 	if !accepted.Before(n.drain.begun) {
-		plan, since = drainedConnection, accepted
+		plan, since = newcomerPlan, accepted
 	}
 	return max(phase, plan.phase(now.Sub(since), true))
 }
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -84,7 +84,7 @@
 	}
 }
 
-func TestMayCloseAtShutdown(t *testing.T) {
+func TestMayCloseIdle(t *testing.T) {
 	now := at(time.Minute)
 	for _, c := range []struct {
 		name  string
@@ -103,7 +103,7 @@
 		{"expired, unread", Expired, Idle{Since: now, Unread: true}, false},
 		{"refusing, half a request", Refusing, Idle{Since: at(0), Begun: true}, false},
 	} {
-		if got := MayCloseAtShutdown(now, c.phase, c.idle); got != c.want {
+		if got := MayCloseIdle(now, c.phase, c.idle); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
 	}
--- a/internal/lifecycle/shutdown.go
+++ b/internal/lifecycle/shutdown.go
@@ -59,3 +59,22 @@
 	}
 	return Draining
 }
+
+// headTime is for a head that has come whole to be taken, by a process that read
+// it a moment before its connection's time was over.
+const headTime = 20 * time.Millisecond
+
+// MayRefuse tells whether a request may be refused whose head has not been taken
+// so long after its connection's time was over.
+func MayRefuse(sinceOver time.Duration) bool { return sinceOver >= headTime }
+
+// MayCut tells whether a connection may be cut so long after its answer was due,
+// and after its time was over, which is when what has not come whole is refused.
+// What is owed an answer gets the time to have it written, also in a process that
+// stood still until then.
+func MayCut(sinceDue, sinceOver time.Duration, owed bool) bool {
+	if owed {
+		return sinceDue >= writeTime
+	}
+	return sinceOver >= refuseTime
+}
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -1,14 +1,12 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"io"
 	"log/slog"
 	"net"
 	"slices"
-	"strings"
 	"syscall"
 	"time"
 
@@ -29,18 +27,18 @@
 // clientConn is a client's connection.
 type clientConn struct {
 	net.Conn
-	raw      syscall.RawConn
-	of       *limited
-	accepted time.Time
-	cancel   context.CancelFunc // ends the connection's requests; set before they are read
-	closed   bool               // guarded by of.mu, as the rest is
-	due      time.Time          // since when its answer is due; zero: it is not
-	hurried  time.Time          // since when what has not come whole is waited for no longer
-	refused  bool               // what comes is read and dropped
-	owed     bool               // a whole request has been read, and nothing of its answer is written
-	ahead    bool               // the first byte of the next request has been read
-	whole    bool               // a request's whole head has been read, and nothing of its answer is written
-	watched  bool
+	raw       syscall.RawConn
+	of        *limited
+	accepted  time.Time
+	cancel    context.CancelFunc // ends the connection's requests; set before they are read
+	closed    bool               // guarded by of.mu, as the rest is
+	due       time.Time          // since when its answer is due; zero: it is not
+	overSince time.Time          // since when what has not come whole is waited for no longer
+	refused   bool               // what comes is read and dropped
+	owed      bool               // a whole request has been read, and nothing of its answer is written
+	ahead     bool               // the first byte of the next request has been read
+	whole     bool               // a request's whole head has been read, and nothing of its answer is written
+	watched   bool
 
 	head      head   // of the request that is being read
 	rest      []byte // of what was read, for the next reads
@@ -207,45 +205,6 @@
 	}
 }
 
-// endFor ends it for a reason, as end does.
-func (c *clientConn) endFor(why string) {
-	c.why = why
-	c.end()
-}
-
-// accountAtEnd has the log tell of a connection that ends before a request was
-// taken from what came on it. The caller holds of.mu.
-func (c *clientConn) accountAtEnd() {
-	reason := unreadHalf
-	if !c.head.begun() {
-		reason = unreadSilent
-	}
-	if c.accounted || reason == unreadSilent && c.carried {
-		return
-	}
-	c.account(cmp.Or(c.why, whyEnded(c.readErr)), reason)
-}
-
-// account has the log tell of what was refused or closed. The caller holds of.mu.
-func (c *clientConn) account(why, reason string) {
-	c.accounted = true
-	c.of.noteUnread(c.RemoteAddr(), c.head.text(), why, reason)
-}
-
-// refusedFor is why net/http refuses what came, by its answer and by what is known
-// of the head. The caller holds of.mu.
-func (c *clientConn) refusedFor(answer []byte) (why, reason string) {
-	said, _, _ := strings.Cut(string(answer), "\r\n")
-	why, reason = shortened(strings.TrimPrefix(said, "HTTP/1.1 ")), unreadReason(said)
-	switch {
-	case c.readErr != nil:
-		return whyEnded(c.readErr), unreadHalf
-	case c.head.hosts > 1:
-		return why, unreadManyHosts
-	}
-	return why, reason
-}
-
 // take notes that a whole request has been read, which is answered from here.
 func (c *clientConn) take() {
 	c.of.mu.Lock()
@@ -302,17 +261,17 @@
 	}
 }
 
-// hurry ends the wait for a request that has not come whole: one whose head is
+// endWait ends the wait for a request that has not come whole: one whose head is
 // still coming is refused here, and of one whose body is the reader fails. The
 // caller holds of.mu.
-func (c *clientConn) hurry(now time.Time) {
-	if c.hurried.IsZero() {
-		c.hurried = now
+func (c *clientConn) endWait(now time.Time) {
+	if c.overSince.IsZero() {
+		c.overSince = now
 	}
 	switch {
 	case !c.of.idle[c].Begun:
 		c.Conn.SetReadDeadline(now) // fails only on a closed connection
-	case !c.refused && lifecycle.MayRefuse(now.Sub(c.hurried)):
+	case !c.refused && lifecycle.MayRefuse(now.Sub(c.overSince)):
 		c.refuse()
 	}
 }
--- a/internal/node/extra.go
+++ b/internal/node/extra.go
@@ -43,7 +43,7 @@
 // endExtra carries out what is due on an extra connection, until it has ended or
 // is an ordinary one.
 func (l *limited) endExtra(c *clientConn) {
-	l.carryOut(slices.Values([]*clientConn{c}))
+	l.endDue(slices.Values([]*clientConn{c}))
 	if l.isExtra(c) {
 		time.AfterFunc(stopTick, func() { l.endExtra(c) })
 	}
@@ -110,7 +110,7 @@
 }
 
 // over tells whether nothing more is awaited on the connection. The caller holds of.mu.
-func (c *clientConn) over() bool { return c.closed || !c.hurried.IsZero() }
+func (c *clientConn) over() bool { return c.closed || !c.overSince.IsZero() }
 
 // promote makes an extra connection on which a client's request has come an
 // ordinary one, and tells whether it is one now. It waits only for ordinary
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -236,7 +236,7 @@
 // mayClose tells whether an idle connection may be closed in a phase. The kernel
 // is asked only where the phase leaves it open.
 func (l *limited) mayClose(c *clientConn, now time.Time, phase lifecycle.Phase) bool {
-	return lifecycle.MayCloseAtShutdown(now, phase, l.idle[c]) && lifecycle.MayCloseAtShutdown(now, phase, l.idleNow(c))
+	return lifecycle.MayCloseIdle(now, phase, l.idle[c]) && lifecycle.MayCloseIdle(now, phase, l.idleNow(c))
 }
 
 // leave takes the connections that are already made, closes the listener, and
@@ -256,13 +256,13 @@
 // advance carries out what is due on each connection as the node's end, or its
 // drain, goes on, and counts those that stay.
 func (l *limited) advance() (open int) {
-	l.carryOut(maps.Keys(l.conns))
+	l.endDue(maps.Keys(l.conns))
 	return l.open()
 }
 
-// carryOut does what is due on connections: it closes those that carry nothing,
+// endDue does what is due on connections: it closes those that carry nothing,
 // refuses what has not come whole, and cuts what is left when its time is over.
-func (l *limited) carryOut(conns iter.Seq[*clientConn]) {
+func (l *limited) endDue(conns iter.Seq[*clientConn]) {
 	var idle, cut []*clientConn
 	now := time.Now()
 	l.mu.Lock()
@@ -277,8 +277,8 @@
 			idle = append(idle, c)
 		case phase >= lifecycle.Refusing && isIdle && !l.idle[c].Begun && c.pending(): // its reader is about to take it
 		case phase >= lifecycle.Refusing:
-			c.hurry(now)
-			if phase >= lifecycle.Ended && lifecycle.MayCut(now.Sub(c.due), now.Sub(c.hurried), c.owed) {
+			c.endWait(now)
+			if phase >= lifecycle.Ended && lifecycle.MayCut(now.Sub(c.due), now.Sub(c.overSince), c.owed) {
 				c.endFor(whyTimeOver)
 				cut = append(cut, c)
 			}
--- a/internal/node/unread.go
+++ b/internal/node/unread.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"log/slog"
@@ -106,3 +107,42 @@
 	o.unread.add(said, reason)
 	o.note(slog.LevelInfo, "refused or closed before a request was taken", eventUnread, reason, "client", client, "said", said, "why", why)
 }
+
+// endFor ends it for a reason, as end does.
+func (c *clientConn) endFor(why string) {
+	c.why = why
+	c.end()
+}
+
+// accountAtEnd has the log tell of a connection that ends before a request was
+// taken from what came on it. The caller holds of.mu.
+func (c *clientConn) accountAtEnd() {
+	reason := unreadHalf
+	if !c.head.begun() {
+		reason = unreadSilent
+	}
+	if c.accounted || reason == unreadSilent && c.carried {
+		return
+	}
+	c.account(cmp.Or(c.why, whyEnded(c.readErr)), reason)
+}
+
+// account has the log tell of what was refused or closed. The caller holds of.mu.
+func (c *clientConn) account(why, reason string) {
+	c.accounted = true
+	c.of.noteUnread(c.RemoteAddr(), c.head.text(), why, reason)
+}
+
+// refusedFor is why net/http refuses what came, by its answer and by what is known
+// of the head. The caller holds of.mu.
+func (c *clientConn) refusedFor(answer []byte) (why, reason string) {
+	said, _, _ := strings.Cut(string(answer), "\r\n")
+	why, reason = shortened(strings.TrimPrefix(said, "HTTP/1.1 ")), unreadReason(said)
+	switch {
+	case c.readErr != nil:
+		return whyEnded(c.readErr), unreadHalf
+	case c.head.hosts > 1:
+		return why, unreadManyHosts
+	}
+	return why, reason
+}
