Write the program's configurations in tests in one place

Eleven tests wrote the same JSON by hand. They name what differs now: address, discovery, keys, settings, the server that is known.

--- a/cmd/indigotack/admin_test.go
+++ b/cmd/indigotack/admin_test.go
@@ -21,9 +21,7 @@
 // platformNode is a node on a platform with a list of one server, and no discovery.
 func platformNode(t *testing.T, listen, keys string) *exec.Cmd {
 	t.Helper()
-	return program(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f",%s
-		"settings":{"classes":[{"name":"slow","effect":"fragile","aim_ns":1000000000,"give_up_ns":2000000000,"importance":1}]},
-		"known":{"index":1,"endpoints":[{"name":"s","address":%q,"status":"ready"}]}}`, listen, listen, keys, listen))
+	return program(t, nodeConfig{listen: listen, discovery: listen, keys: keys, settings: classSettings("slow", "fragile", 2*time.Second), server: listen}.String())
 }
 
 // orderNode gives a node an order and reads its answer; the status is 0 if there is none.
@@ -51,8 +49,7 @@
 // in a drain, and from SIGTERM until the node ends.
 func TestAdminAddressFromStartToEnd(t *testing.T) {
 	listen, operators := freeAddress(t), freeAddress(t)
-	cmd := program(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f",
-		"settings":{"classes":[{"name":"slow","effect":"fragile","aim_ns":1000000000,"give_up_ns":2000000000,"importance":1}]}}`, listen, freeAddress(t)))
+	cmd := program(t, nodeConfig{listen: listen, discovery: freeAddress(t), settings: classSettings("slow", "fragile", 2*time.Second)}.String())
 	cmd.Env = append([]string{"GW_ADMIN=" + operators}, cmd.Env...)
 	awaitLine(t, start(t, cmd), "operators are answered")
 	for _, c := range []struct{ path, state string }{
--- a/cmd/indigotack/connect_test.go
+++ b/cmd/indigotack/connect_test.go
@@ -62,10 +62,8 @@
 	t.Cleanup(agent.Close)
 	t.Cleanup(agent.CloseClientConnections)
 	listen := freeAddress(t)
-	cmd := program(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","settings":{
-		"membership_mode":"pushed","invariants":{"drain_grace_ns":2000000000},"caps":{"connect_timeout_ns":120000000},
-		"classes":[{"name":"page","effect":"retryable","aim_ns":1000000000,"give_up_ns":2000000000,"importance":1}]}}`,
-		listen, agent.Listener.Addr()))
+	cmd := program(t, nodeConfig{listen: listen, discovery: agent.Listener.Addr().String(),
+		settings: pushedSettings(2*time.Second) + `"caps":{"connect_timeout_ns":120000000},` + classSettings("page", "retryable", 2*time.Second)}.String())
 	var connects atomic.Int64
 	supervise(t, cmd, func(c callfault.Call) syscall.Errno {
 		if c.Destination().String() != server.Listener.Addr().String() || connects.Add(1) > int64(times) {
--- a/cmd/indigotack/descriptors_test.go
+++ b/cmd/indigotack/descriptors_test.go
@@ -54,9 +54,8 @@
 	}
 	t.Cleanup(func() { hung.Close() })
 	listen, operators = freeAddress(t), freeAddress(t)
-	cmd := program(t, fmt.Sprintf(`{"name":"n0","listen":%q,"admin_listen":%q,"discovery":%q,"seed":"1f",
-		"settings":{"classes":[{"name":"page","effect":"fragile","aim_ns":1000000000,"give_up_ns":2000000000,"importance":1}]},
-		"known":{"index":1,"endpoints":[{"name":"s","address":%q,"status":"ready"}]}}`, listen, operators, freeAddress(t), hung.Addr()))
+	cmd := program(t, nodeConfig{listen: listen, discovery: freeAddress(t), keys: fmt.Sprintf(`"admin_listen":%q,`, operators),
+		settings: classSettings("page", "fragile", 2*time.Second), server: hung.Addr().String()}.String())
 	awaitLine(t, start(t, cmd), "operators are answered")
 	awaitReady(t, listen)
 	return listen, operators, cmd.Process.Pid
--- a/cmd/indigotack/kill_test.go
+++ b/cmd/indigotack/kill_test.go
@@ -58,10 +58,8 @@
 	agent := httptest.NewServer(newScriptedAgent(servers))
 	t.Cleanup(agent.CloseClientConnections)
 	listen := freeAddress(t)
-	cmd := program(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","settings":{"membership_mode":"pushed",
-		"invariants":{"drain_grace_ns":2000000000},"caps":{"max_attempts":4,"cancel":true},
-		"classes":[{"name":"page","effect":"retryable","aim_ns":%d,"give_up_ns":%d,"importance":1}]}}`,
-		listen, agent.Listener.Addr(), (longest/2).Nanoseconds(), longest.Nanoseconds()))
+	cmd := program(t, nodeConfig{listen: listen, discovery: agent.Listener.Addr().String(),
+		settings: pushedSettings(2*time.Second) + `"caps":{"max_attempts":4,"cancel":true},` + classSettings("page", "retryable", longest)}.String())
 	start(t, cmd)
 	awaitReady(t, listen)
 
--- a/cmd/indigotack/main_test.go
+++ b/cmd/indigotack/main_test.go
@@ -97,8 +97,7 @@
 			ln.Close()
 		}
 	}
-	config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","settings":{},
-		"known":{"index":1,"endpoints":[{"name":"s","address":%q,"status":"ready"}]}}`, free[0], free[1], free[1])
+	config := nodeConfig{listen: free[0], discovery: free[1], server: free[1]}.String()
 	cmd := program(t, config)
 	said := start(t, cmd)
 	ready := func() bool {
@@ -170,9 +169,7 @@
 	}
 	defer hung.Close()
 	listen := freeAddress(t)
-	cmd := program(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f",
-		"settings":{"classes":[{"name":"slow","effect":"fragile","aim_ns":1000000000,"give_up_ns":4000000000,"importance":1}]},
-		"known":{"index":1,"endpoints":[{"name":"s","address":%q,"status":"ready"}]}}`, listen, hung.Addr(), hung.Addr()))
+	cmd := program(t, nodeConfig{listen: listen, discovery: hung.Addr().String(), settings: classSettings("slow", "fragile", 4*time.Second), server: hung.Addr().String()}.String())
 	start(t, cmd)
 	var client net.Conn
 	for until := time.Now().Add(30 * time.Second); client == nil; time.Sleep(5 * time.Millisecond) {
@@ -341,8 +338,7 @@
 		t.Run(how, func(t *testing.T) {
 			t.Parallel()
 			listen := freeAddress(t)
-			cmd := program(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","settings":{},
-				"known":{"index":1,"endpoints":[{"name":"s","address":%q,"status":"ready"}]}}`, listen, listen, listen))
+			cmd := program(t, nodeConfig{listen: listen, discovery: listen, server: listen}.String())
 			reader, writer, err := os.Pipe()
 			if err != nil {
 				t.Fatal(err)
@@ -392,8 +388,7 @@
 		t.Run(how, func(t *testing.T) {
 			t.Parallel()
 			listen, moved := freeAddress(t), freeAddress(t)
-			config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","settings":{},
-				"known":{"index":1,"endpoints":[{"name":"s","address":%q,"status":"ready"}]}}`, listen, listen, listen)
+			config := nodeConfig{listen: listen, discovery: listen, server: listen}.String()
 			cmd := program(t, config)
 			said := start(t, cmd)
 			awaitReady(t, listen)
@@ -437,8 +432,7 @@
 		t.Fatal(err)
 	}
 	listen := before.Addr().String()
-	start(t, program(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","settings":{},
-		"known":{"index":1,"endpoints":[{"name":"s","address":%q,"status":"ready"}]}}`, listen, listen, listen)))
+	start(t, program(t, nodeConfig{listen: listen, discovery: listen, server: listen}.String()))
 	time.Sleep(500 * time.Millisecond)
 	before.Close()
 	awaitReady(t, listen)
--- a/cmd/indigotack/reload_test.go
+++ b/cmd/indigotack/reload_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"os"
 	"strings"
 	"syscall"
@@ -21,8 +20,7 @@
 			t.Parallel()
 			listen := freeAddress(t)
 			config := func(discovery string) string {
-				return fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","settings":{},
-					"known":{"index":1,"endpoints":[{"name":"s","address":%q,"status":"ready"}]}}`, listen, discovery, listen)
+				return nodeConfig{listen: listen, discovery: discovery, server: listen}.String()
 			}
 			cmd := program(t, config(listen))
 			said := start(t, cmd)
--- a/cmd/indigotack/signals_test.go
+++ b/cmd/indigotack/signals_test.go
@@ -30,10 +30,8 @@
 	agent := httptest.NewServer(newScriptedAgent(map[string]string{"s": server.Listener.Addr().String()}))
 	t.Cleanup(agent.CloseClientConnections)
 	listen = freeAddress(t)
-	cmd = program(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","settings":{
-		"membership_mode":"pushed","invariants":{"drain_grace_ns":2000000000},
-		"classes":[{"name":"page","effect":"retryable","aim_ns":1000000000,"give_up_ns":2000000000,"importance":1}]}}`,
-		listen, agent.Listener.Addr()))
+	cmd = program(t, nodeConfig{listen: listen, discovery: agent.Listener.Addr().String(),
+		settings: pushedSettings(2*time.Second) + classSettings("page", "retryable", 2*time.Second)}.String())
 	said = start(t, cmd)
 	awaitReady(t, listen)
 	status := make(chan int, 1)
--- a/cmd/indigotack/watch_test.go
+++ b/cmd/indigotack/watch_test.go
@@ -169,10 +169,8 @@
 	t.Cleanup(agentServer.CloseClientConnections)
 
 	listen := freeAddress(t)
-	start(t, program(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","settings":{
-		"membership_mode":"pushed","invariants":{"drain_grace_ns":%d},
-		"classes":[{"name":"page","effect":"retryable","aim_ns":1000000000,"give_up_ns":2000000000,"importance":1}]}}`,
-		listen, agentServer.Listener.Addr(), drainGrace.Nanoseconds())))
+	start(t, program(t, nodeConfig{listen: listen, discovery: agentServer.Listener.Addr().String(),
+		settings: pushedSettings(drainGrace) + classSettings("page", "retryable", 2*time.Second)}.String()))
 	awaitReady(t, listen)
 
 	stop := make(chan struct{})
