Confirm the list before sending also after the machine has slept

The guard that holds back what is sent after a stand went by Go's clock, which stands while a machine sleeps, so that a node could send by the list of before: the last open row of the ways by which something reaches a node. It also looks at the clock that counts a sleep. Seen failing before by the unit test alone, as no machine can be put to sleep here.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -13,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Environment variables that set the clock wrong.
@@ -72,3 +74,13 @@
 	d, _ := parse(strings.TrimSpace(string(text))) // a file that is being written is no step
 	return d
 }
+
+// SinceBoot is how long ago the machine was started. Unlike Go's monotonic clock
+// it goes on while the machine sleeps. It is 0 where there is no such clock.
+func SinceBoot() time.Duration {
+	var t unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &t) != nil {
+		return 0
+	}
+	return time.Duration(t.Nano())
+}
--- a/internal/node/stall.go
+++ b/internal/node/stall.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"indigotack/internal/clock"
 )
 
 const (
@@ -25,14 +27,18 @@
 	limit time.Duration // longer than this is a stand
 	woke  func()        // called after a stand; must not block
 
+	// passed is the time since some moment, also while the machine slept.
+	passed func() time.Duration
+
 	mu          sync.Mutex
-	ticked      time.Time // the process ran then
-	wokeAt      time.Time // the end of the last stand; zero: there was none
-	confirmedAt time.Time // the list is at least as new as this
+	ticked      time.Time     // the process ran then
+	passedThen  time.Duration // at that time
+	wokeAt      time.Time     // the end of the last stand; zero: there was none
+	confirmedAt time.Time     // the list is at least as new as this
 }
 
 func newStallGuard(grace time.Duration, woke func()) *stallGuard {
-	return &stallGuard{limit: max(grace/stallPart, leastStall), woke: woke, ticked: time.Now()}
+	return &stallGuard{limit: max(grace/stallPart, leastStall), woke: woke, passed: clock.SinceBoot, ticked: time.Now(), passedThen: clock.SinceBoot()}
 }
 
 // run looks for stands until ctx ends.
@@ -45,8 +51,9 @@
 // stood notes that the process runs, and tells whether it stood still before.
 func (g *stallGuard) stood(now time.Time) bool {
 	g.mu.Lock()
-	still := now.Sub(g.ticked) > g.limit
-	g.ticked = now
+	passed := g.passed()
+	still := now.Sub(g.ticked) > g.limit || passed-g.passedThen > g.limit
+	g.ticked, g.passedThen = now, passed
 	if still {
 		g.wokeAt = now
 	}
--- a/internal/node/stall_test.go
+++ b/internal/node/stall_test.go
@@ -43,6 +43,24 @@
 	}
 }
 
+// TestStallGuardCountsTheMachinesSleep guards against sends by an old list after the machine slept, while which Go's clock stands.
+func TestStallGuardCountsTheMachinesSleep(t *testing.T) {
+	woke := 0
+	g := newStallGuard(2*time.Second, func() { woke++ })
+	passed := g.passedThen
+	g.passed = func() time.Duration { return passed }
+	if passed += time.Second; g.holds(g.ticked.Add(time.Millisecond)) || woke != 0 {
+		t.Error("a short sleep holds up what is sent")
+	}
+	if passed += 5 * time.Second; !g.holds(g.ticked.Add(time.Millisecond)) || woke != 1 {
+		t.Errorf("after a sleep of 5 s nothing is held up, told of %d stands", woke)
+	}
+	g.confirm(g.wokeAt)
+	if g.holds(g.ticked.Add(time.Millisecond)) || woke != 1 {
+		t.Error("what is sent is held up after the list was confirmed")
+	}
+}
+
 // TestStallGuardLetsGo: a request whose time is over meanwhile is not sent, and
 // without a guard nothing waits.
 func TestStallGuardLetsGo(t *testing.T) {
