Give an operator's call that comes in pieces 2 s also at a drained node

What callers saw: a resume written byte by byte, 10 ms apart, was answered 503 by a drained node, as what comes on a new connection is waited for 0.25 s there, and the node stayed drained. Cause: the bound for newcomers, which keeps clients from holding a drained node, took a call for theirs. A connection whose first line has begun with an operator's path has the time that any head has.

Seen failing before: TestCallInPiecesDrains with 10 ms a byte ("answer 503").

--- a/cmd/indigotack/forms_test.go
+++ b/cmd/indigotack/forms_test.go
@@ -34,14 +34,14 @@
 	}
 }
 
-// TestCallInPiecesDrains guards against a call without a Host that is refused where it comes in pieces.
+// TestCallInPiecesDrains guards against a call without a Host that is refused where it comes in pieces, also by a node that is drained.
 func TestCallInPiecesDrains(t *testing.T) {
 	n := startDrainNode(t)
 	for _, order := range []struct{ path, state string }{{"/admin/quiesce", "drained"}, {"/admin/resume", "ready"}} {
 		conn := n.dial(t)
 		for _, b := range []byte("POST " + order.path + " HTTP/1.1\r\nAccept: */*\r\n\r\n") {
 			conn.Write([]byte{b})
-			time.Sleep(time.Millisecond)
+			time.Sleep(10 * time.Millisecond)
 		}
 		conn.SetReadDeadline(time.Now().Add(2 * time.Second))
 		if got := readReply(conn); got.status != http.StatusOK || got.state() != order.state {
--- a/internal/lifecycle/drain.go
+++ b/internal/lifecycle/drain.go
@@ -15,6 +15,14 @@
 // accepted beyond its room. Its request comes within SpeakTime, and is refused at once.
 var newcomerPlan = ShutdownPlan{Answer: SpeakTime, Refuse: SpeakTime, End: SpeakTime + refuseTime}
 
+// CallTime is for an operator's call to come whole from a connection's acceptance
+// on, at a node that is drained.
+const CallTime = 2 * time.Second
+
+// callPlan is that of a connection which is made while the node is drained, and on
+// which an operator's call has begun.
+var callPlan = ShutdownPlan{Answer: CallTime, Refuse: CallTime, End: CallTime + refuseTime}
+
 // orderSlack is by how much an order may seem to have come before another that
 // it followed, as the kernel tells such times in ticks.
 const orderSlack = 10 * time.Millisecond
@@ -81,6 +89,17 @@
 // client's connection that was accepted then: the later of the two where both
 // go on, and never one before Closing in a drain.
 func (n *Node) ConnectionPhase(now, accepted time.Time) Phase {
+	return n.connectionPhase(now, accepted, newcomerPlan)
+}
+
+// CallPhase is ConnectionPhase for a connection on which an operator's call has
+// begun, which may come in pieces.
+func (n *Node) CallPhase(now, accepted time.Time) Phase {
+	return n.connectionPhase(now, accepted, callPlan)
+}
+
+// connectionPhase goes by a plan for connections that are made in a drain.
+func (n *Node) connectionPhase(now, accepted time.Time, newcomer ShutdownPlan) Phase {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	phase := n.phase(now)
@@ -89,7 +108,7 @@
 	}
 	plan, since := n.drain.plan, n.drain.Since
 	if !accepted.Before(n.drain.begun) {
-		plan, since = newcomerPlan, accepted
+		plan, since = newcomer, accepted
 	}
 	return max(phase, plan.phase(now.Sub(since), true))
 }
--- a/internal/lifecycle/drain_test.go
+++ b/internal/lifecycle/drain_test.go
@@ -100,6 +100,23 @@
 	}
 }
 
+// TestCallInPiecesHasTime guards against an operator's call that a drained node ends as it comes in pieces, and against one that is held past the bound of what was there before.
+func TestCallInPiecesHasTime(t *testing.T) {
+	start := time.Now()
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	var n Node
+	n.SetReady(true)
+	n.Drain(at(10), at(10), "someone", drainPlan)
+	for _, c := range []struct {
+		now, accepted float64
+		want          Phase
+	}{{12.9, 11, Closing}, {13, 11, Refusing}, {13.1, 11, Ended}, {15, 9, Ended}} {
+		if got := n.CallPhase(at(c.now), at(c.accepted)); got != c.want {
+			t.Errorf("%+v: %v", c, got)
+		}
+	}
+}
+
 // TestMayCut guards against an answer that a connection's cut overtakes.
 func TestMayCut(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/node/head.go
+++ b/internal/node/head.go
@@ -88,7 +88,7 @@
 
 // namesCall tells whether the first line of a request is that of an operator's call.
 func namesCall(line []byte) bool {
-	if !bytes.Contains(line, []byte("/admin/")) { // hardly any has it
+	if !bytes.Contains(line, callMark) { // hardly any has it
 		return false
 	}
 	fields := strings.Fields(string(line))
@@ -102,8 +102,19 @@
 	return appconfig.IsCall(appconfig.CleanPath(path))
 }
 
+// callMark is in the first line of each operator's call.
+var callMark = []byte(operatorsPath + "/")
+
+// isOperators tells whether what has come of the first line is an operator's call,
+// as far as that can be told.
+func (h *head) isOperators() bool {
+	_, target, _ := bytes.Cut(h.line, []byte(" "))
+	path := bytes.TrimLeft(target, "/")
+	return bytes.Contains(h.line, callMark) && (bytes.HasPrefix(path, callMark[1:]) || bytes.HasPrefix(path, []byte("http")))
+}
+
 // ownPaths begin what a platform's node answers itself, without the slash.
-var ownPaths = []string{"admin", "health", "metrics"}
+var ownPaths = []string{operatorsPath[1:], "health", "metrics"}
 
 // isClients tells whether what has come of the first line can be neither an
 // operator's call nor a health check, as far as that can be told.
--- a/internal/node/head_test.go
+++ b/internal/node/head_test.go
@@ -57,13 +57,24 @@
 	}
 }
 
+// TestHeadOfAnOperator: as soon as a line can hardly be anything else.
+func TestHeadOfAnOperator(t *testing.T) {
+	for line, want := range map[string]bool{"": false, "GET /": false, "GET /adm": false, "POST /admin/": true, "GET //admin/res": true, "GET http://node/admin/resume": true,
+		"GET /api/admin/resume": false, "/admin/": false} {
+		if got := (&head{line: []byte(line)}).isOperators(); got != want {
+			t.Errorf("%q: %v, want %v", line, got, want)
+		}
+	}
+}
+
 // TestHeadOfAClient: as soon as a line can be no operator's and no check's, and not before.
 func TestHeadOfAClient(t *testing.T) {
 	for line, want := range map[string]bool{"": false, "GET": false, "GET ": false, "GET /": false, "GET //": false, "GET /a": false, "GET /ad": false, "GET /ap": true,
 		"POST /api/x HTTP/1.1": true, "GET /Admin/Quiesce": false, "GET /admin": false, "GET //admin/": false, "GET /health/ready": false, "GET /h": false, "GET /hx": true,
 		"GET http://node/admin": false, "GET /metrics": false, "\x16\x03\x01": false} {
-		if got := (&head{line: []byte(line)}).isClients(); got != want {
-			t.Errorf("%q: %v, want %v", line, got, want)
+		h := head{line: []byte(line)}
+		if got := h.isClients(); got != want || got && h.isOperators() {
+			t.Errorf("%q: %v, want %v; an operator's %v", line, got, want, h.isOperators())
 		}
 	}
 }
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -220,12 +220,20 @@
 // ending tells whether connections end as soon as they carry nothing. The caller holds mu.
 func (l *limited) ending() bool { return l.closing || l.life != nil && l.life.Drained() != nil }
 
+// lifePhase is how far the node's life has come for a connection. The caller holds mu.
+func (l *limited) lifePhase(c *clientConn, now time.Time) lifecycle.Phase {
+	if l.completesCalls && c.head.isOperators() {
+		return l.life.CallPhase(now, c.accepted)
+	}
+	return l.life.ConnectionPhase(now, c.accepted)
+}
+
 // phaseOf is how far the node's end, or its drain, has come for a connection,
 // or the time of an extra one. The caller holds mu.
 func (l *limited) phaseOf(c *clientConn, now time.Time) lifecycle.Phase {
 	phase := lifecycle.Ready
 	if l.life != nil {
-		phase = l.life.ConnectionPhase(now, c.accepted)
+		phase = l.lifePhase(c, now)
 	}
 	if l.extras[c] {
 		phase = max(phase, lifecycle.ExtraPhase(now, c.accepted))
