--- a/internal/rig/check_test.go
+++ b/internal/rig/check_test.go
@@ -11,7 +11,7 @@
 )
 
 // TestCheckers: each history of testdata/checks.txt gets the findings that it
-// names, and no others. A history is a line for each event: seconds, what
+// names, and no others. A line of socket_faults has some of them fail. A history is a line for each event: seconds, what
 // happened, key=value; its head is the checkers that find something, by number.
 func TestCheckers(t *testing.T) {
 	text, err := os.ReadFile(filepath.Join("testdata", "checks.txt"))
@@ -34,6 +34,8 @@
 					t.Fatal(err)
 				}
 				p.Faults = append(p.Faults, q.Faults...)
+			case strings.HasPrefix(line, "socket_faults "):
+				p.Sockets = 0.01
 			default:
 				e, err := event(line)
 				if err != nil {
--- a/internal/rig/history.go
+++ b/internal/rig/history.go
@@ -21,7 +21,7 @@
 	Answered    = "answered"    // it has its answer, or goes without: ID, Class, Node, Peer, Text (how), N (seconds that it took), Most (seconds that its connection was open before)
 	SpokeTwice  = "twice"       // a client got more bytes after a whole answer: ID, Node
 	Unconnected = "unconnected" // a relay could not reach what it stands before: Node or Server, Peer
-	Belated     = "belated"     // a relay passed on a connection's first bytes N seconds after it had made it: Node, Peer
+	Belated     = "belated"     // a relay passed on a connection's first bytes N seconds after it was about to make it: Node, Peer
 	Began       = "began"       // a request's last byte has come to a server: ID, Server, Node, N (number of the attempt there)
 	Ran         = "ran"         // it is carried out: ID, Server
 	Ended       = "ended"       // the server knows that the attempt is over: ID, Server, N
