Keep the descriptor by which operators are heard from clients' connections

Operators' own listener gives its spare descriptor away to accept a call. When the call's connection closes, the clients' listener, which tries again all the time, could take the descriptor first. The next call then found none, and accept was tried again only after 1, 2, 4 ... 32 ms.

Change: what comes to the clients' listener is placed only when operators' listeners hold their spares again, but for those that are lent to a connection that is still open; a connection that may give way does so for it. Accept is tried again after 5 ms at most, and as soon as a connection has closed.

--- a/cmd/indigotack/descriptors_test.go
+++ b/cmd/indigotack/descriptors_test.go
@@ -39,7 +39,9 @@
 			order(t, listen, "quiesce")
 			time.Sleep(2*time.Second + killSlack) // the drain's bound
 			order(t, listen, "status")
-			order(t, operators, "status")
+			for range 20 { // with the clients' connections on the heels of each
+				order(t, operators, "status")
+			}
 			order(t, listen, "resume")
 		})
 	}
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -198,7 +198,7 @@
 	if !c.closed {
 		c.closed = true
 		c.accountAtEnd()
-		c.tellExtra()
+		c.of.tellRoom()
 		delete(c.of.conns, c)
 		delete(c.of.extras, c)
 		delete(c.of.idle, c)
@@ -218,7 +218,8 @@
 func (c *clientConn) Close() error {
 	gone := client{c}.left()
 	err := c.Conn.Close()
-	c.of.spare.hold() // it may have gone for this connection
+	c.of.reserve.hold()
+	c.of.spare.takeBack() // it may have gone for this connection
 	c.of.mu.Lock()
 	defer c.of.mu.Unlock()
 	if c.owed && !gone {
--- a/internal/node/extra.go
+++ b/internal/node/extra.go
@@ -89,8 +89,13 @@
 	if !c.of.extras[c] {
 		return
 	}
+	c.of.tellRoom()
+}
+
+// tellRoom wakes whoever waits for room.
+func (l *limited) tellRoom() {
 	select {
-	case c.of.extraNews <- struct{}{}:
+	case l.roomNews <- struct{}{}:
 	default:
 	}
 }
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -44,6 +44,7 @@
 	limited atomic.Pointer[limited] // the listener while it serves
 	inHand  atomic.Int64            // requests that were read and have no answer yet
 	orders  ordersOnListen
+	reserve reserve
 
 	operatorAddresses int // beside the one where clients connect, at least 1
 
@@ -79,6 +80,7 @@
 	limited := limitListener(ln, f.most, f.observer)
 	limited.life = &f.life
 	limited.completesCalls = f.orders == ordersByPath
+	limited.reserve = &f.reserve
 	f.limited.Store(limited)
 	srv := f.server(limited, f, f.times)
 	failed := make(chan error, 1)
@@ -235,7 +237,7 @@
 
 // endUnopened answers a request that is not opened and ends its connection. What
 // follows on it may belong to the body of this request as the client sees it,
-// so none of it is taken for a request; and the answer waits for no body.
+// so none of it is taken for a request.
 func (f *frontend) endUnopened(w http.ResponseWriter, r *http.Request, err error, status int, reason string) {
 	f.note(slog.LevelInfo, "request refused unopened", eventRequest, reason, "err", err, "method", r.Method, "path", shortened(r.URL.Path),
 		"id", shortened(r.Header.Get("X-Request-Id")), "client", r.RemoteAddr)
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -21,7 +21,7 @@
 // After a failed accept the next one waits, twice as long each time.
 const (
 	leastAcceptWait = time.Millisecond
-	mostAcceptWait  = 50 * time.Millisecond
+	mostAcceptWait  = 5 * time.Millisecond // an operator's call may come next
 )
 
 // roomCheck is how often a connection looks for room that is waited for.
@@ -32,27 +32,30 @@
 type limited struct {
 	net.Listener
 	*observer
-	raw   syscall.RawConn // the listener's
-	spare spareDescriptor
-	most  int
-	life  *lifecycle.Node // nil: connections go on for good
+	raw     syscall.RawConn // the listener's
+	spare   spareDescriptor
+	reserve *reserve // goes before what comes here; may be nil
+	most    int
+	life    *lifecycle.Node // nil: connections go on for good
 
 	mostExtra      int  // connections beyond most
 	completesCalls bool // operators' calls need no Host
 
-	mu      sync.Mutex
-	conns   map[*clientConn]bool           // all that are open
-	extras  map[*clientConn]bool           // those of them that are beyond most
-	closing bool                           // connections end as soon as they carry nothing
-	idle    map[*clientConn]lifecycle.Idle // that carry no whole request; Unread is not kept
+	mu        sync.Mutex
+	conns     map[*clientConn]bool           // all that are open
+	extras    map[*clientConn]bool           // those of them that are beyond most
+	closing   bool                           // connections end as soon as they carry nothing
+	idle      map[*clientConn]lifecycle.Idle // that carry no whole request; Unread is not kept
+	lingering map[*clientConn]time.Time      // since when they are kept only for the client to read the last answer
 
-	crowded   atomic.Bool   // a new connection waits for an extra one to give way
-	extraNews chan struct{} // gets a value when an extra connection may have come to give way
+	crowded  atomic.Bool   // a new connection waits for an extra one to give way
+	roomNews chan struct{} // gets a value when there may be room, or a connection that may give way
 }
 
 func limitListener(ln net.Listener, most int, o *observer) *limited {
 	l := &limited{Listener: failingAccepts(ln), raw: rawOf(ln), observer: o, most: most, mostExtra: extraConns,
-		conns: map[*clientConn]bool{}, extras: map[*clientConn]bool{}, idle: map[*clientConn]lifecycle.Idle{}, extraNews: make(chan struct{}, 1)}
+		conns: map[*clientConn]bool{}, extras: map[*clientConn]bool{}, idle: map[*clientConn]lifecycle.Idle{}, lingering: map[*clientConn]time.Time{},
+		roomNews: make(chan struct{}, 1)}
 	l.spare.hold()
 	return l
 }
@@ -74,6 +77,7 @@
 		l.count(eventConnection, "no_room")
 		l.noteUnread(c.RemoteAddr(), "", whyNoRoom, unreadNoRoom)
 		c.Close()
+		l.reserve.hold()
 	}
 }
 
@@ -82,20 +86,24 @@
 func (l *limited) place(c *clientConn) bool {
 	until := c.accepted.Add(lifecycle.SpareTime)
 	defer l.crowded.Store(false)
-	for !l.admit(c) && !l.admitExtra(c) {
+	for !l.reserveHeld() || !l.admit(c) && !l.admitExtra(c) {
 		if time.Now().After(until) {
 			return false
 		}
 		l.crowded.Store(true)
-		l.awaitExtra(roomCheck)
+		l.awaitRoom(roomCheck)
 	}
 	return true
 }
 
-// awaitExtra waits for an extra connection to give way, or for a time.
-func (l *limited) awaitExtra(most time.Duration) {
+// reserveHeld has operators' listeners take back the descriptors that they gave
+// away, if need be that of a connection that may give way.
+func (l *limited) reserveHeld() bool { return l.reserve.hold() || l.closeOne() && l.reserve.hold() }
+
+// awaitRoom waits for room or a connection that may give way, or for a time.
+func (l *limited) awaitRoom(most time.Duration) {
 	select {
-	case <-l.extraNews:
+	case <-l.roomNews:
 	case <-time.After(most):
 	}
 }
@@ -110,7 +118,7 @@
 		if err == nil || errors.Is(err, net.ErrClosed) {
 			return c, err
 		}
-		l.awaitExtra(wait)
+		l.awaitRoom(wait)
 	}
 }
 
@@ -123,14 +131,19 @@
 	}
 	l.observer.note(slog.LevelWarn, "accepting a connection failed", eventAccept, neterr.OriginOf(err).String(), "err", err)
 	if neterr.OutOfDescriptors(err) && l.freeDescriptor() {
-		return l.Listener.Accept()
+		if c, err = l.Listener.Accept(); err != nil {
+			l.spare.takeBack()
+		}
 	}
-	return nil, err
+	return c, err
 }
 
 // freeDescriptor gives up a connection that may give way, or else the spare
 // descriptor, and is false if there is neither.
-func (l *limited) freeDescriptor() bool {
+func (l *limited) freeDescriptor() bool { return l.closeOne() || l.spare.giveAway() }
+
+// closeOne gives up a connection that may give way, and is false if there is none.
+func (l *limited) closeOne() bool {
 	now := time.Now()
 	l.mu.Lock()
 	worst := l.evict(now)
@@ -139,7 +152,7 @@
 	}
 	l.mu.Unlock()
 	l.closeEvicted(worst)
-	return worst != nil || l.spare.giveAway()
+	return worst != nil
 }
 
 // admit counts a connection as an ordinary one if there is room for it, or room
--- a/internal/node/operatorserver.go
+++ b/internal/node/operatorserver.go
@@ -27,6 +27,7 @@
 	limited := limitListener(ln, operatorConns/f.operatorAddresses, f.observer)
 	limited.mostExtra = operatorExtraConns / f.operatorAddresses
 	limited.completesCalls = true
+	f.reserve.add(&limited.spare)
 	srv := f.server(limited, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		clientOf(r).take()
 		answers.ServeHTTP(w, r)
