Answer a health check whose body does not come at once, and end its connection

A health check with a body that does not come whole was answered only when the time for reading a request was over.

The four tests of a full node set its room by one method.

--- a/internal/node/extra_test.go
+++ b/internal/node/extra_test.go
@@ -130,21 +130,23 @@
 }
 
 // startFull starts a node with room for extra connections alone.
-func startFull(t *testing.T) (n *running, setMost func(int)) {
-	n = startNode(t, serving(t))
+func startFull(t *testing.T) *running {
+	n := startNode(t, serving(t))
+	n.setMost(0)
+	return n
+}
+
+// setMost sets for how many ordinary connections there is room.
+func (n *running) setMost(most int) {
 	l := n.front.limited.Load()
-	setMost = func(most int) {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.most = most
-	}
-	setMost(0)
-	return n, setMost
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.most = most
 }
 
 // TestFullNodeRefusesWhatItHears guards against a client that is cut off without a word, and a request that is taken beyond the node's room.
 func TestFullNodeRefusesWhatItHears(t *testing.T) {
-	n, setMost := startFull(t)
+	n := startFull(t)
 	for say, want := range map[string]int{
 		text("safe", "q"):   503,
 		text("unsafe", "r"): 503,
@@ -169,7 +171,7 @@
 	}
 	c := n.dial(t)
 	time.Sleep(lifecycle.SpeakTime / 2)
-	setMost(1)
+	n.setMost(1)
 	c.ask(t, "saldo", "s", "20")
 	if status := c.status(t); status != http.StatusOK {
 		t.Errorf("with room again: answer %d, want 200", status)
@@ -178,7 +180,7 @@
 
 // TestSilentExtraConnectionsEnd guards against descriptors that are held by clients who say nothing on a full node.
 func TestSilentExtraConnectionsEnd(t *testing.T) {
-	n, _ := startFull(t)
+	n := startFull(t)
 	var silent []raw
 	for range 3 * extraConns {
 		silent = append(silent, n.dial(t))
@@ -201,8 +203,8 @@
 
 // TestWaitForRoomHoldsUpNobody guards against an operator who waits behind requests that each wait for room on an extra connection.
 func TestWaitForRoomHoldsUpNobody(t *testing.T) {
-	n, setMost := startFull(t)
-	setMost(1)
+	n := startFull(t)
+	n.setMost(1)
 	n.dial(t)
 	l := n.front.limited.Load()
 	waitUntil(t, "a silent connection that never gives way", func() bool {
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -262,15 +262,17 @@
 		return false
 	}
 	switch r.URL.Path {
-	case f.health + "/ready":
-		if f.phase() != lifecycle.Ready {
-			http.Error(w, "not ready", http.StatusServiceUnavailable)
-			return true
-		}
-	case f.health + "/live":
+	case f.health + "/ready", f.health + "/live":
 	default:
 		return false
 	}
+	if r.ContentLength != 0 {
+		endAfterAnswer(w, r)
+	}
+	if r.URL.Path == f.health+"/ready" && f.phase() != lifecycle.Ready {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return true
+	}
 	io.WriteString(w, "ok\n")
 	return true
 }
