Judge the tail of plays that the load generator itself calls valid

So the generator had no CPU, told so, and the test did not read that.

Change: a play that the report calls invalid is played again, eight times at most; if none is valid the test fails. The check and its bounds (5% and 25 ms) are as they were, and so is all that is asked of a valid play.

--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -226,6 +226,9 @@
 
 type stall struct{ at, lasts time.Duration }
 
+// mostPlays is how often a play is tried whose generator does not keep up on a busy machine, which its report tells.
+const mostPlays = 8
+
 // TestTailMatchesInjectedPauses: the target stops for known times; the reported
 // tail is the one computed from them, within 5%, while a closed loop beside it hides most of it.
 func TestTailMatchesInjectedPauses(t *testing.T) {
@@ -234,41 +237,13 @@
 		"two":        {{300 * time.Millisecond, 400 * time.Millisecond}, {1500 * time.Millisecond, 600 * time.Millisecond}},
 		"many short": {{200 * time.Millisecond, 200 * time.Millisecond}, {700 * time.Millisecond, 200 * time.Millisecond}, {1200 * time.Millisecond, 200 * time.Millisecond}, {1700 * time.Millisecond, 200 * time.Millisecond}},
 	} {
-		p := plan(t, "check_body = true\n[[phase]]\nrate = 400\nfor = \"2500ms\"\narrivals = \"regular\"\n[[class]]\nname = \"x\"\ndeadline = \"10s\"\n")
-		g := startTarget(t, nil)
-		// The stalls as they really were, for the computation.
-		var real []stall
-		began := make(chan time.Time, 1)
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			start := <-began
-			for _, s := range stalls {
-				time.Sleep(time.Until(start.Add(s.at)))
-				from := time.Since(start)
-				g.pause()
-				time.Sleep(time.Until(start.Add(s.at + s.lasts)))
-				g.goOn()
-				real = append(real, stall{from, time.Since(start) - from})
-			}
-		}()
-		closed := make(chan []float64, 1)
-		go func() { closed <- closedLoop(g.address, 2500*time.Millisecond) }()
-		began <- time.Now()
-		r := run(t, p, g)
-		<-done
-		hidden := <-closed
-		var want []float64
-		for _, a := range arrivals(p) {
-			late := time.Duration(0)
-			for _, s := range real {
-				if a.At >= s.at && a.At < s.at+s.lasts {
-					late = s.at + s.lasts - a.At
-				}
+		r, want, hidden := playStalls(t, stalls)
+		for plays := 1; !r.Valid; plays++ {
+			if plays == mostPlays {
+				t.Fatalf("%s: the generator has not kept up in any of %d plays: %v", name, plays, r.Invalid)
 			}
-			want = append(want, float64(late)/1e6)
+			r, want, hidden = playStalls(t, stalls)
 		}
-		sort.Float64s(want)
 		for _, c := range []struct {
 			q   float64
 			got float64
@@ -282,7 +257,6 @@
 		if r.Answered != r.Intended || r.Outcomes["garbled"] > 0 {
 			t.Errorf("%s: %+v", name, r.Outcomes)
 		}
-		sort.Float64s(hidden)
 		if h := hidden[len(hidden)*9/10]; h > 0.5*r.Latency.P90 && r.Latency.P90 > 50 {
 			t.Errorf("%s: the closed loop shows p90 %.1f ms, the open one %.1f", name, h, r.Latency.P90)
 		}
@@ -290,6 +264,47 @@
 	}
 }
 
+// playStalls plays against a target that stalls, and gives the latencies in ms, in order, that the stalls cause, and those that a closed loop sees.
+func playStalls(t *testing.T, stalls []stall) (r *Report, want, hidden []float64) {
+	t.Helper()
+	p := plan(t, "check_body = true\n[[phase]]\nrate = 400\nfor = \"2500ms\"\narrivals = \"regular\"\n[[class]]\nname = \"x\"\ndeadline = \"10s\"\n")
+	g := startTarget(t, nil)
+	// The stalls as they really were, for the computation.
+	var real []stall
+	began := make(chan time.Time, 1)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		start := <-began
+		for _, s := range stalls {
+			time.Sleep(time.Until(start.Add(s.at)))
+			from := time.Since(start)
+			g.pause()
+			time.Sleep(time.Until(start.Add(s.at + s.lasts)))
+			g.goOn()
+			real = append(real, stall{from, time.Since(start) - from})
+		}
+	}()
+	closed := make(chan []float64, 1)
+	go func() { closed <- closedLoop(g.address, 2500*time.Millisecond) }()
+	began <- time.Now()
+	r = run(t, p, g)
+	<-done
+	hidden = <-closed
+	for _, a := range arrivals(p) {
+		late := time.Duration(0)
+		for _, s := range real {
+			if a.At >= s.at && a.At < s.at+s.lasts {
+				late = s.at + s.lasts - a.At
+			}
+		}
+		want = append(want, float64(late)/1e6)
+	}
+	sort.Float64s(want)
+	sort.Float64s(hidden)
+	return r, want, hidden
+}
+
 // closedLoop is the obvious alternative: it waits for each answer before it sends more.
 func closedLoop(address string, length time.Duration) (ms []float64) {
 	c := &http.Client{Transport: &http.Transport{}}
