Settle no node alone that a partition keeps from all addresses to join at

A node that had found nobody held itself for a settled fleet of one after 5 s, also where nothing said that nobody else was there: its addresses to join at were silent. A node that starts late on a busy machine, before a partition puts these addresses on the other side, is such a node; it reaches others, whom it has never heard of, and they hold a settled view of their own.

Change: a node that knows of nobody is settled only when each address to join at has answered, or its machine has said that nobody listens there.

--- /dev/null
+++ b/internal/peers/alone_test.go
@@ -0,0 +1,38 @@
+package peers
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"indigotack/internal/view"
+)
+
+// TestSilentAddressToJoinAtSettlesNobodyAlone guards against a node that holds itself for the whole fleet because a partition keeps it from the addresses to join at.
+func TestSilentAddressToJoinAtSettlesNobodyAlone(t *testing.T) {
+	t.Parallel()
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // takes connections, and never a word on them
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	a, _ := member(t, "a", nil, silent.Addr().String())
+	for end := time.Now().Add(aloneTime + 2*time.Second); time.Now().Before(end); time.Sleep(tickTime) {
+		if s := a.Snapshot(); s.Settled {
+			t.Fatalf("settled alone while somebody may be at an address to join at: %+v", s)
+		}
+	}
+	silent.Close()
+	until(t, "a view of one, as nobody listens there", settledOn(1), a)
+}
+
+// TestAloneBesideItsOwnAddress guards against a node that waits for itself for ever, as it is told to join at its own address.
+func TestAloneBesideItsOwnAddress(t *testing.T) {
+	t.Parallel()
+	at := ownAddress()
+	a := memberAt(t, "a", at, t.TempDir(), nil, "127.0.0.1:1", at.String())
+	until(t, "a view of one", settledOn(1), a)
+	if n := len(a.Snapshot().Members); n != 1 || a.Snapshot().Members[0].State != view.Alive {
+		t.Errorf("a knows %d members", n)
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -76,7 +77,8 @@
 	changedAt time.Time
 	saidAt    time.Time
 	leaving   bool
-	dirty     bool // the state on the disk is not the view's
+	dirty     bool            // the state on the disk is not the view's
+	joinHeard map[string]bool // addresses to join at that answer, or where nobody listens
 
 	list      atomic.Pointer[memberlist.Memberlist]
 	queue     *memberlist.TransmitLimitedQueue
@@ -99,7 +101,7 @@
 	if err != nil {
 		log.Error("peers: the state of before is refused, and put aside", "err", err)
 	}
-	p := &Peers{cfg: cfg, log: log, began: time.Now(), heard: map[string]last{}, again: make(chan struct{}, 1), suspected: make(chan string, 64), changedAt: time.Now()}
+	p := &Peers{cfg: cfg, log: log, began: time.Now(), heard: map[string]last{}, joinHeard: map[string]bool{}, again: make(chan struct{}, 1), suspected: make(chan string, 64), changedAt: time.Now()}
 	p.queue = &memberlist.TransmitLimitedQueue{NumNodes: func() int { return int(max(1, p.size.Load())) }, RetransmitMult: 4}
 	// A folder that was lost takes no earlier start again, unless the clock is set back as well.
 	p.reset(max(kept.Start+1, uint64(max(0, clock.Wall().UnixMilli()))), kept.Members)
@@ -127,6 +129,7 @@
 			p.view.Remember(p.now(), m)
 		}
 	}
+	p.view.Awaited(p.now(), p.awaitsJoin())
 	p.dirty = true
 	p.size.Store(int64(p.view.Counted()))
 	p.save()
@@ -578,14 +581,32 @@
 				counts = v.Counts(t.name)
 				return out
 			})
+			joined := 0
 			if listens && !counts {
-				p.list.Load().Join([]string{t.address}) // what fails is tried again
+				joined, _ = p.list.Load().Join([]string{t.address}) // what fails is tried again
+			}
+			if t.name == "" {
+				p.noteJoin(t.address, refused || joined > 0)
 			}
 		})
 	}
 	each.Wait()
 }
 
+// noteJoin notes whether an address to join at has answered, or its machine that
+// nobody listens there.
+func (p *Peers) noteJoin(address string, heard bool) {
+	p.do(func(v *view.View, now view.Time) []view.Change {
+		p.joinHeard[address] = heard
+		return v.Awaited(now, p.awaitsJoin())
+	})
+}
+
+// awaitsJoin tells whether somebody may be at an address to join at. The caller holds mu.
+func (p *Peers) awaitsJoin() bool {
+	return slices.ContainsFunc(p.cfg.Join, func(a string) bool { return a != p.cfg.Advertise.String() && !p.joinHeard[a] })
+}
+
 // knock finds out whether anybody is at an address, or whether its machine
 // says that nobody is.
 func (p *Peers) knock(address string) (listens, refused bool) {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -100,6 +100,7 @@
 	digest     Digest
 	stoodSince Time
 	settled    bool
+	awaited    bool // somebody may be at an address to join at
 	whole      int  // members of the last settled view that missed nobody
 	wholeAt    Time // when it was last settled so
 	claimed    uint64
@@ -270,6 +271,13 @@
 	return v.settle(now)
 }
 
+// Awaited notes whether somebody may be at an address to join at: nobody has
+// answered from there, nor has its machine said that nobody listens.
+func (v *View) Awaited(now Time, is bool) []Change {
+	v.awaited = is
+	return v.settle(now)
+}
+
 // Tick lets time pass: it settles, and forgets.
 func (v *View) Tick(now Time) []Change {
 	var out []Change
@@ -333,7 +341,12 @@
 
 // settle finds out whether the view is settled.
 func (v *View) settle(now Time) []Change {
-	settled := now-v.stoodSince >= v.cfg.Settle && (v.Counted() > 1 || now-v.stoodSince >= v.cfg.Alone)
+	stood := now - v.stoodSince
+	settled := stood >= v.cfg.Settle
+	if v.Counted() == 1 {
+		foundNobody := v.awaited && len(v.members) == 1
+		settled = stood >= max(v.cfg.Settle, v.cfg.Alone) && !foundNobody
+	}
 	missing := 0
 	for _, m := range v.members {
 		if m.Name != v.self && m.counts() && !(m.spoke && m.said == v.digest) {
