Try each address to join at while a node is alone, not the first six for ever

Of the addresses to join at the first six were tried each time. A node whose first six had gone stayed alone for good, though a seventh lived.

Change: they are drawn anew each time, as those of members out of reach are.

--- a/internal/peers/alone_test.go
+++ b/internal/peers/alone_test.go
@@ -26,6 +26,18 @@
 	until(t, "a view of one, as nobody listens there", settledOn(1), a)
 }
 
+// TestEachAddressToJoinAtIsTried guards against a node that stays alone because those it tries first have all gone.
+func TestEachAddressToJoinAtIsTried(t *testing.T) {
+	t.Parallel()
+	a, at := member(t, "a", nil)
+	var join []string
+	for range 4 * tries {
+		join = append(join, ownAddress().String()) // nobody is there
+	}
+	b, _ := member(t, "b", nil, append(join, at)...)
+	until(t, "one view of two", settledOn(2), a, b)
+}
+
 // TestAloneBesideItsOwnAddress guards against a node that waits for itself for ever, as it is told to join at its own address.
 func TestAloneBesideItsOwnAddress(t *testing.T) {
 	t.Parallel()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -556,15 +556,23 @@
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	all = all[:min(len(all), tries)]
 	if p.view.Counted() == 1 {
-		for _, a := range p.cfg.Join {
-			if a != p.cfg.Advertise.String() && len(all) < 2*tries {
-				all = append(all, target{address: a})
-			}
-		}
+		all = append(all, p.joinTargets(2*tries-len(all))...)
 	}
 	return all
 }
 
+// joinTargets draws so many of the addresses to join at, at most.
+func (p *Peers) joinTargets(most int) []target {
+	var all []target
+	for _, a := range p.cfg.Join {
+		if a != p.cfg.Advertise.String() {
+			all = append(all, target{address: a})
+		}
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(len(all), most)]
+}
+
 func (p *Peers) join(all []target) {
 	var each sync.WaitGroup
 	for _, t := range all {
