--- a/internal/node/adminaddress_test.go
+++ b/internal/node/adminaddress_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"net/http"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 )
@@ -17,16 +15,7 @@
 		t.Setenv(name, value)
 	}
 	text := "{" + keys + strings.TrimPrefix(goodConfig, "{")
-	text = strings.Replace(text, `"settings":{`, `"settings":{`+settings, 1)
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	c, err := LoadConfig(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return c
+	return loaded(t, strings.Replace(text, `"settings":{`, `"settings":{`+settings, 1))
 }
 
 // TestOperatorsAddressByName: heard are the addresses, each with the name that
--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -14,21 +14,28 @@
 "settings":{"balancers":5,"slot_no":3,"caps":{"connect_timeout_ns":120000000,"max_attempts":4},
 "classes":[{"name":"saldo","effect":"retryable","aim_ns":250000000}],"membership_mode":"pushed"}}`
 
-func TestLoadConfig(t *testing.T) {
+// loaded is a configuration as it is read from a file.
+func loaded(t *testing.T, text string) Config {
+	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, []byte(goodConfig), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	c, err := LoadConfig(path)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return c
+}
+
+func TestLoadConfig(t *testing.T) {
+	c := loaded(t, goodConfig)
 	if c.Name != "n3" || c.Listen != "127.0.0.1:5000" || c.Discovery != "127.0.0.1:8500" || c.Sockets != 512 || c.MemoryMB != 100 ||
 		uint64(c.Seed) != 0xfc1f30d27a5be964 || c.known.Index != 41 || len(c.known.Entries) != 1 ||
 		c.Settings.Self != 3 || c.Settings.ConnectTimeout != 120*time.Millisecond || c.Settings.Classes[0].Name != "saldo" {
 		t.Errorf("%+v", c)
 	}
-	if _, err := LoadConfig(path + "x"); err == nil {
+	if _, err := LoadConfig(filepath.Join(t.TempDir(), "config.json")); err == nil {
 		t.Error("a missing file is no error")
 	}
 }
--- a/internal/node/head.go
+++ b/internal/node/head.go
@@ -108,20 +108,29 @@
 // isOperators tells whether what has come of the first line is an operator's call,
 // as far as that can be told.
 func (h *head) isOperators() bool {
-	_, target, _ := bytes.Cut(h.line, []byte(" "))
-	path := bytes.TrimLeft(target, "/")
-	return bytes.Contains(h.line, callMark) && (bytes.HasPrefix(path, callMark[1:]) || bytes.HasPrefix(path, []byte("http")))
+	target, _ := h.target()
+	return bytes.Contains(h.line, callMark) && (strings.HasPrefix(target, operatorsPath[1:]+"/") || isAbsolute(target))
 }
 
+// target is what a request asks for, as far as it has come and without the slashes
+// before it, and whether the method before it has come whole.
+func (h *head) target() (target string, behindMethod bool) {
+	_, rest, behindMethod := bytes.Cut(h.line, []byte(" "))
+	return strings.TrimLeft(string(rest), "/"), behindMethod
+}
+
+// isAbsolute tells whether a target begins like one that names its host.
+func isAbsolute(target string) bool { return strings.HasPrefix(strings.ToLower(target), "http") }
+
 // ownPaths begin what a platform's node answers itself, without the slash.
 var ownPaths = []string{operatorsPath[1:], "health", "metrics"}
 
 // isClients tells whether what has come of the first line can be neither an
 // operator's call nor a health check, as far as that can be told.
 func (h *head) isClients() bool {
-	_, target, behindMethod := bytes.Cut(h.line, []byte(" "))
-	path := strings.ToLower(strings.TrimLeft(string(target), "/"))
-	if !behindMethod || path == "" || strings.HasPrefix(path, "http") {
+	target, behindMethod := h.target()
+	path := strings.ToLower(target)
+	if !behindMethod || path == "" || isAbsolute(path) {
 		return false
 	}
 	return !slices.ContainsFunc(ownPaths, func(own string) bool { return strings.HasPrefix(path, own) || strings.HasPrefix(own, path) })
--- a/internal/node/unknown_test.go
+++ b/internal/node/unknown_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"log/slog"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -15,15 +13,7 @@
 // loggedUnknown loads a configuration and gives the lines that warn of what is unknown.
 func loggedUnknown(t *testing.T, config string) []string {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	c, err := LoadConfig(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	log := &standin.LogBuffer{}
+	log, c := &standin.LogBuffer{}, loaded(t, config)
 	c.LogUnknown(slog.New(slog.NewTextHandler(log, nil)))
 	return strings.Split(strings.TrimSuffix(log.String(), "\n"), "\n")
 }
