Log what comes in a pipeline behind a call whose answer ends the connection

An operator's call has "Connection: close" in its answer. What its client had sent behind it, as a script does that writes status and quiesce at once, was dropped by net/http, and nothing told of it.

--- a/cmd/indigotack/forms_test.go
+++ b/cmd/indigotack/forms_test.go
@@ -91,6 +91,32 @@
 	}
 }
 
+// TestCallBehindAnotherLeavesALine guards against a call in a pipeline that is dropped without a trace, as the answer before it ends the connection.
+func TestCallBehindAnotherLeavesALine(t *testing.T) {
+	n := startDrainNode(t)
+	lines := keepLines(n.said)
+	const status = "GET /admin/status HTTP/1.1\r\nHost: node\r\n\r\n"
+	for i, c := range []struct{ text, dropped string }{
+		{status + "POST /admin/quiesce?%d HTTP/1.1\r\nHost: node\r\n\r\n", "POST /admin/quiesce?%d HTTP/1.1"},
+		{"GET /admin/status HTTP/1.1\r\n\r\nPOST /admin/quiesce?%d HTTP/1.1\r\n\r\n", "POST /admin/quiesce?%d HTTP/1.1"},
+		{"GET /admin/status HTTP/1.1\nHost: node\n\nGET /api/%d", "GET /api/%d"},
+	} {
+		if got := n.ask(fmt.Sprintf(c.text, i), refusedWithin); got.status != http.StatusOK {
+			t.Errorf("%q: %v", c.text, got)
+		}
+		said := fmt.Sprintf("said=%q", fmt.Sprintf(c.dropped, i))
+		if !lines.await(func(line string) bool { return strings.Contains(line, said) && strings.Contains(line, "127.0.0.1:") }, time.Second) {
+			t.Errorf("no line of the log has %s", said)
+		}
+	}
+	if got := n.ask("POST /admin/status HTTP/1.1\r\nHost: node\r\nContent-Length: 9\r\n\r\ntopsecret", refusedWithin); got.status != http.StatusMethodNotAllowed {
+		t.Errorf("a status that is posted: %v", got)
+	}
+	if lines.await(func(line string) bool { return strings.Contains(line, "topsecret") }, linePause) {
+		t.Error("a body is logged")
+	}
+}
+
 // tellsOfOne tells whether a regular line has one of the refused forms as the newest, with its reason.
 func tellsOfOne(line string) bool {
 	return slices.ContainsFunc(standin.RefusedForms, func(c standin.RefusedForm) bool {
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -38,10 +38,10 @@
 // admitted tells whether a request may be taken on the connection.
 func (c client) admitted() bool { return c.conn == nil || c.conn.of.promote(c.conn) }
 
-// take notes that a request has been taken from the client, which is answered from here.
-func (c client) take() {
-	if c.conn != nil {
-		c.conn.take()
+// take notes that a request has been taken, which is answered from here.
+func take(r *http.Request) {
+	if c := clientOf(r); c.conn != nil {
+		c.conn.take(r.ContentLength != 0)
 	}
 }
 
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -207,12 +207,12 @@
 	}
 }
 
-// take notes that a whole request has been read, which is answered from here.
-func (c *clientConn) take() {
+// take notes that a request has been read, which is answered from here.
+func (c *clientConn) take(hasBody bool) {
 	c.of.mu.Lock()
 	defer c.of.mu.Unlock()
 	c.taken, c.carried = true, true
-	c.head.reset()
+	c.head.next(hasBody)
 }
 
 // Close closes the connection. One on which an answer is owed should not be,
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -158,7 +158,7 @@
 
 // ServeHTTP answers the health checks and operators, and passes requests to the loop.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	clientOf(r).take()
+	take(r)
 	if f.closing(r) || clientOf(r).extra() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/node/head.go
+++ b/internal/node/head.go
@@ -24,6 +24,7 @@
 	field    []byte // the beginning of the present line behind it
 	hosts    int    // lines that name one; counted in a call alone
 	over     bool   // nothing more is looked for
+	behind   []byte // what came with the end of a call's head
 }
 
 // begun tells whether a part of a request has come.
@@ -32,6 +33,16 @@
 // reset is for the next request.
 func (h *head) reset() { *h = head{line: h.line[:0], field: h.field[:0]} }
 
+// next is for the request behind the present one, which has a body or not. The
+// beginning of what came with the head of one without is its.
+func (h *head) next(hasBody bool) {
+	behind := bytes.TrimLeft(h.behind, "\r\n") // empty lines between requests count for nothing
+	h.reset()
+	if !hasBody {
+		h.read(behind)
+	}
+}
+
 // read takes the next bytes. It gives where in them a Host has to be inserted
 // for net/http to take the call, which is before the end of the head; -1: nowhere.
 func (h *head) read(b []byte) (hostAt int) {
@@ -39,6 +50,7 @@
 	for !h.over && i < len(b) {
 		if len(h.field) == 0 && (b[i] == '\r' || b[i] == '\n') {
 			h.over = true
+			h.behind = behindLine(b[i:])
 			if h.hosts > 0 {
 				return -1
 			}
@@ -49,6 +61,12 @@
 	return -1
 }
 
+// behindLine is a copy of what follows the first line, as far as it may be kept.
+func behindLine(b []byte) []byte {
+	_, behind, _ := bytes.Cut(b, []byte("\n"))
+	return bytes.Clone(behind[:min(len(behind), mostLine)])
+}
+
 // readLine takes what belongs to the first line and gives how much that is.
 func (h *head) readLine(b []byte) int {
 	if h.lineOver {
--- a/internal/node/operatorserver.go
+++ b/internal/node/operatorserver.go
@@ -29,7 +29,7 @@
 	limited.completesCalls = true
 	f.reserve.add(&limited.spare)
 	srv := f.server(limited, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		clientOf(r).take()
+		take(r)
 		answers.ServeHTTP(w, r)
 	}), times{head: operatorReadTime, read: operatorReadTime})
 	srv.WriteTimeout = operatorWriteTime
--- a/internal/node/unread.go
+++ b/internal/node/unread.go
@@ -24,6 +24,7 @@
 	unreadHalf        = "half_head"
 	unreadSilent      = "silent"
 	unreadNoRoom      = "no_room"
+	unreadBehind      = "behind_last_answer"
 	unreadDatagram    = "datagram"
 )
 
@@ -118,8 +119,11 @@
 // taken from what came on it. The caller holds of.mu.
 func (c *clientConn) accountAtEnd() {
 	reason := unreadHalf
-	if !c.head.begun() {
+	switch {
+	case !c.head.begun():
 		reason = unreadSilent
+	case c.last:
+		reason = unreadBehind
 	}
 	if c.accounted || reason == unreadSilent && c.carried {
 		return
