--- a/internal/rig/check_test.go
+++ b/internal/rig/check_test.go
@@ -11,7 +11,8 @@
 )
 
 // TestCheckers: each history of testdata/checks.txt gets the findings that it
-// names, and no others. A line of socket_faults has some of them fail. A history is a line for each event: seconds, what
+// names, and no others. A line of socket_faults has some of them fail, one of platform
+// is of a platform's nodes. A history is a line for each event: seconds, what
 // happened, key=value; its head is the checkers that find something, by number.
 func TestCheckers(t *testing.T) {
 	text, err := os.ReadFile(filepath.Join("testdata", "checks.txt"))
@@ -36,6 +37,8 @@
 				p.Faults = append(p.Faults, q.Faults...)
 			case strings.HasPrefix(line, "socket_faults "):
 				p.Sockets = 0.01
+			case line == "platform":
+				p.Platform = true
 			default:
 				e, err := event(line)
 				if err != nil {
