--- a/internal/rig/platform.go
+++ b/internal/rig/platform.go
@@ -66,8 +66,8 @@
 	return os.WriteFile(filepath.Join(n.dir, platformConfig), text, 0o600)
 }
 
-// operatorsForm is how a platform's node is told of operators' address. The
-// nodes of a fleet are told in different ways, and by the seed in others.
+// operatorsForm is how a platform's node is told of operators' address, by the
+// plan's seed and the node's number.
 func (n *node) operatorsForm() standin.AddressForm {
 	return standin.AddressForms[(int(n.of.plan.Seed%uint64(len(standin.AddressForms)))+n.i)%len(standin.AddressForms)]
 }
