Measure how late a process wakes in one place

The rig had watchLateness, and standin.Lateness wrote its loop again. Both use standin.TellLateness; interval and threshold of each are as they were.

--- a/internal/rig/server.go
+++ b/internal/rig/server.go
@@ -175,14 +175,9 @@
 
 // watchLateness tells how late the process wakes, until end is closed.
 func watchLateness(end <-chan struct{}, tell func(time.Duration)) {
-	const every = 10 * time.Millisecond
-	for {
-		began := time.Now()
-		if !pause(every, end) {
-			return
-		}
-		if late := time.Since(began) - every; late > lateLeast {
+	standin.TellLateness(10*time.Millisecond, end, func(late time.Duration) {
+		if late > lateLeast {
 			tell(late)
 		}
-	}
+	})
 }
--- a/internal/standin/lateness.go
+++ b/internal/standin/lateness.go
@@ -23,16 +23,24 @@
 }
 
 func (l *Lateness) watch() {
+	TellLateness(latenessTick, l.stop, func(by time.Duration) {
+		late := int64(by)
+		for worst := l.worst.Load(); late > worst && !l.worst.CompareAndSwap(worst, late); worst = l.worst.Load() {
+		}
+	})
+}
+
+// TellLateness sleeps for so long again and again, and tells each time how late the
+// process woke, until end is closed.
+func TellLateness(every time.Duration, end <-chan struct{}, tell func(late time.Duration)) {
 	for {
 		asleep := time.Now()
 		select {
-		case <-time.After(latenessTick):
-		case <-l.stop:
+		case <-time.After(every):
+		case <-end:
 			return
 		}
-		late := int64(time.Since(asleep) - latenessTick)
-		for worst := l.worst.Load(); late > worst && !l.worst.CompareAndSwap(worst, late); worst = l.worst.Load() {
-		}
+		tell(time.Since(asleep) - every)
 	}
 }
 
