Carry out operators' orders in the order in which their connections came

What callers saw: a drain and then a resume that lay unread while the process stood still left the node drained, ready answered 503.

Cause: the two were put in order by the kernel's count of milliseconds since the last bytes, with 10 ms allowed for its ticks. Two orders of one caller within that were carried out as goroutines happened to read them. The time was also counted from before the system call, so a thread that waited for a processor made an order older than it was.

Evidence: the test now sends both orders one behind the other on connections of its own while the process is stopped (before, a goroutine and 20 ms made it likely; on a busy machine the second could be sent first, so it could also fail without a fault).

Change: an order is put before another by the time where that is sure, within the kernel's tick and what the call took, else by the order in which the listener accepted the connections, where both orders lay there when they were first looked for.

Why it works: the kernel queues connections as they are made, and one caller makes the second behind the first.

--- a/cmd/indigotack/drain_test.go
+++ b/cmd/indigotack/drain_test.go
@@ -564,15 +564,16 @@
 	for i := range 10 {
 		n.signal(t, syscall.SIGSTOP)
 		n.awaitStanding(t)
-		answers := make(chan reply, 2)
-		for _, call := range []string{quiesceCall, resumeCall} { // both lie unread as it wakes
-			go func() { answers <- n.ask(call, 2*time.Second) }()
-			time.Sleep(20 * time.Millisecond)
+		conns := map[string]*net.TCPConn{}
+		for _, call := range []string{quiesceCall, resumeCall} { // both lie unread as it wakes, one behind the other
+			conns[call] = n.dial(t)
+			if _, err := io.WriteString(conns[call], call); err != nil {
+				t.Fatal(err)
+			}
 		}
 		woke := time.Now()
 		n.signal(t, syscall.SIGCONT)
-		for range 2 {
-			got := <-answers
+		for _, got := range readReplies(conns, woke.Add(2*time.Second)) {
 			got.took = time.Since(woke)
 			if wrong := checkOrder(got); wrong != "" {
 				t.Error(wrong)
--- a/cmd/indigotack/drainnode_test.go
+++ b/cmd/indigotack/drainnode_test.go
@@ -164,19 +164,7 @@
 		n.cmd.Env = append(n.cmd.Env, n.variable)
 	}
 	n.said = start(t, n.cmd)
-	t.Cleanup(func() {
-		for t.Failed() {
-			select {
-			case line, open := <-n.said:
-				if !open {
-					return
-				}
-				t.Logf("the program said %s", line)
-			default:
-				return
-			}
-		}
-	})
+	logOnFailure(t, n.said)
 }
 
 func (n *drainNode) signal(t *testing.T, s os.Signal) {
--- a/cmd/indigotack/said_test.go
+++ b/cmd/indigotack/said_test.go
@@ -58,3 +58,20 @@
 		t.Errorf("the program does not say %q", text)
 	}
 }
+
+// logOnFailure logs what a program has said and nobody has read, if the test fails.
+func logOnFailure(t *testing.T, said <-chan string) {
+	t.Cleanup(func() {
+		for t.Failed() {
+			select {
+			case line, open := <-said:
+				if !open {
+					return
+				}
+				t.Logf("the program said %s", line)
+			default:
+				return
+			}
+		}
+	})
+}
--- a/cmd/indigotack/watch_test.go
+++ b/cmd/indigotack/watch_test.go
@@ -169,8 +169,8 @@
 	t.Cleanup(agentServer.CloseClientConnections)
 
 	listen := freeAddress(t)
-	start(t, program(t, nodeConfig{listen: listen, discovery: agentServer.Listener.Addr().String(),
-		settings: pushedSettings(drainGrace) + classSettings("page", "retryable", 2*time.Second)}.String()))
+	logOnFailure(t, start(t, program(t, nodeConfig{listen: listen, discovery: agentServer.Listener.Addr().String(),
+		settings: pushedSettings(drainGrace) + classSettings("page", "retryable", 2*time.Second)}.String())))
 	awaitReady(t, listen)
 
 	stop := make(chan struct{})
--- a/internal/lifecycle/drain.go
+++ b/internal/lifecycle/drain.go
@@ -23,43 +23,60 @@
 // which an operator's call has begun.
 var callPlan = ShutdownPlan{Answer: CallTime, Refuse: CallTime, End: CallTime + refuseTime}
 
-// orderSlack is by how much an order may seem to have come before another that
-// it followed, as the kernel tells such times in ticks.
-const orderSlack = 10 * time.Millisecond
-
-// overtaken tells whether an order that came then is read behind one that came
-// later, as a process does that stood still. The caller holds mu.
-func (n *Node) overtaken(came time.Time) bool {
-	if came.Add(orderSlack).Before(n.orderedAt) {
+// Order is what is known of when an operator's order came.
+type Order struct {
+	Came  time.Time
+	Slack time.Duration // by how much earlier or later it may have come
+
+	// Queue is the listener whose connection, accepted then, brought the order; nil
+	// where the order came only later than its connection.
+	Queue    any
+	Accepted time.Time
+}
+
+// before tells whether an order surely came before another: by the time, or else
+// by the order in which one listener accepted the connections.
+func (o Order) before(other Order) bool {
+	apart, slack := other.Came.Sub(o.Came), o.Slack+other.Slack
+	if apart.Abs() > slack {
+		return apart > 0
+	}
+	return o.Queue != nil && o.Queue == other.Queue && o.Accepted.Before(other.Accepted)
+}
+
+// overtaken tells whether an order is read behind one that came later, as a
+// process does that stood still. The caller holds mu.
+func (n *Node) overtaken(o Order) bool {
+	if o.before(n.ordered) {
 		return true
 	}
-	n.orderedAt = came
+	n.ordered = o
 	return false
 }
 
-// Drain begins a drain now, by an order that came then, and gives it. It is nil,
+// Drain begins a drain now, by an order, and gives it. It is nil,
 // and nothing changes, where the node is drained already, was told to end, or has
 // carried out a later order.
-func (n *Node) Drain(came, now time.Time, by string, plan ShutdownPlan) *Drain {
+func (n *Node) Drain(o Order, now time.Time, by string, plan ShutdownPlan) *Drain {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.terminated.IsZero() || n.overtaken(came) || n.drain != nil {
+	if !n.terminated.IsZero() || n.overtaken(o) || n.drain != nil {
 		return nil
 	}
-	n.drain = &Drain{Since: came, By: by, begun: now, plan: plan}
+	n.drain = &Drain{Since: o.Came, By: by, begun: now, plan: plan}
 	return n.drain
 }
 
-// Resume ends a drain by an order that came then, and gives the one that it
+// Resume ends a drain by an order, and gives the one that it
 // ended; nil if there was none, or the node has carried out a later order. It is
 // denied once the node was told to end.
-func (n *Node) Resume(came time.Time) (ended *Drain, denied bool) {
+func (n *Node) Resume(o Order) (ended *Drain, denied bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !n.terminated.IsZero() {
 		return nil, true
 	}
-	if n.overtaken(came) {
+	if n.overtaken(o) {
 		return nil, false
 	}
 	ended, n.drain = n.drain, nil
--- a/internal/lifecycle/drain_test.go
+++ b/internal/lifecycle/drain_test.go
@@ -10,11 +10,14 @@
 // second is so many seconds after zero.
 func second(n float64) time.Time { return at(time.Duration(n * float64(time.Second))) }
 
+// order is one that came so many seconds after zero, as far as a kernel with 200 ticks a second tells.
+func order(n float64) Order { return Order{Came: second(n), Slack: 5 * time.Millisecond} }
+
 // drainedNode is a ready node that was drained by an order that came then, and was carried out a while later.
 func drainedNode(came, carriedOut float64) *Node {
 	n := &Node{}
 	n.SetReady(true)
-	n.Drain(second(came), second(carriedOut), "someone", drainPlan)
+	n.Drain(order(came), second(carriedOut), "someone", drainPlan)
 	return n
 }
 
@@ -22,10 +25,10 @@
 func TestDrainIsOverByItsBound(t *testing.T) {
 	var n Node
 	n.SetReady(true)
-	if n.Drain(second(10), second(10), "someone", drainPlan) == nil || n.Phase(second(10)) != Drained {
+	if n.Drain(order(10), second(10), "someone", drainPlan) == nil || n.Phase(second(10)) != Drained {
 		t.Fatalf("phase %v, want drained", n.Phase(second(10)))
 	}
-	if n.Drain(second(12), second(12), "another", drainPlan) != nil || n.Drained().By != "someone" {
+	if n.Drain(order(12), second(12), "another", drainPlan) != nil || n.Drained().By != "someone" {
 		t.Error("a second order begins another drain")
 	}
 	for _, c := range []struct {
@@ -48,7 +51,7 @@
 	if !n.MayOpen(second(9)) || n.MayOpen(second(10)) || n.MayOpen(second(30)) {
 		t.Error("a drained node opens requests of connections that came after the order, or none of before")
 	}
-	ended, denied := n.Resume(second(20))
+	ended, denied := n.Resume(order(20))
 	if ended == nil || denied || n.Phase(second(20)) != Ready || !n.MayOpen(second(20)) || n.ConnectionPhase(second(20), second(9)) != Ready {
 		t.Errorf("after a resume: %v, %v, phase %v", ended, denied, n.Phase(second(20)))
 	}
@@ -64,7 +67,7 @@
 	if got := n.Phase(second(12)); got != Draining {
 		t.Errorf("phase %v, want draining", got)
 	}
-	if ended, denied := n.Resume(second(13)); ended != nil || !denied {
+	if ended, denied := n.Resume(order(13)); ended != nil || !denied {
 		t.Errorf("a resume after the termination signal: %v, %v, want it denied", ended, denied)
 	}
 	if n.MayOpen(second(11)) {
@@ -78,7 +81,7 @@
 	}
 	var stopped Node
 	stopped.Terminate(second(0), drainPlan)
-	if stopped.Drain(second(1), second(1), "someone", drainPlan) != nil {
+	if stopped.Drain(order(1), second(1), "someone", drainPlan) != nil {
 		t.Error("a node that was told to end begins a drain")
 	}
 }
@@ -87,22 +90,47 @@
 func TestOrdersInTheOrderInWhichTheyCame(t *testing.T) {
 	var n Node
 	n.SetReady(true)
-	n.Resume(second(0.1))
-	if n.Drain(second(0.08), second(0.08), "someone", drainPlan) != nil {
+	n.Resume(order(0.1))
+	if n.Drain(order(0.08), second(0.08), "someone", drainPlan) != nil {
 		t.Error("a drain that came before the resume is carried out behind it")
 	}
-	if n.Drain(second(0.095), second(0.095), "someone", drainPlan) == nil {
+	if n.Drain(order(0.095), second(0.095), "someone", drainPlan) == nil {
 		t.Error("a drain within the kernel's ticks of the resume is passed over")
 	}
-	n.Drain(second(0.3), second(0.3), "someone", drainPlan)
-	if ended, _ := n.Resume(second(0.2)); ended != nil {
+	n.Drain(order(0.3), second(0.3), "someone", drainPlan)
+	if ended, _ := n.Resume(order(0.2)); ended != nil {
 		t.Error("a resume that came before a second order to drain is carried out behind it")
 	}
-	if ended, _ := n.Resume(second(0.301)); ended == nil || n.Phase(second(0.301)) != Ready {
+	if ended, _ := n.Resume(order(0.301)); ended == nil || n.Phase(second(0.301)) != Ready {
 		t.Error("the last resume does not end the drain")
 	}
 }
 
+// TestOrdersOfOneTickInTheOrderOfTheirConnections guards against a drain that is carried out behind the resume that followed it within a tick of the kernel.
+func TestOrdersOfOneTickInTheOrderOfTheirConnections(t *testing.T) {
+	accepted := func(queue any, n float64) Order {
+		return Order{Came: second(1), Slack: time.Second, Queue: queue, Accepted: second(n)}
+	}
+	for _, c := range []struct {
+		name          string
+		first, second Order
+		overtaken     bool
+	}{
+		{"drain's connection before", accepted(1, 0.2), accepted(1, 0.1), true},
+		{"drain's connection behind", accepted(1, 0.1), accepted(1, 0.2), false},
+		{"of two listeners", accepted(1, 0.2), accepted(2, 0.1), false},
+		{"connection long before its order", accepted(1, 0.2), Order{Came: second(1), Slack: time.Second}, false},
+		{"by the time, though not by the connections", Order{Came: second(5), Queue: 1, Accepted: second(0.1)}, accepted(1, 0.2), true},
+	} {
+		var n Node
+		n.SetReady(true)
+		n.Resume(c.first)
+		if drained := n.Drain(c.second, second(6), "someone", drainPlan) != nil; drained == c.overtaken {
+			t.Errorf("%s: drained %v behind the resume", c.name, drained)
+		}
+	}
+}
+
 // TestCallInPiecesHasTime guards against an operator's call that a drained node ends as it comes in pieces, and against one that is held past the bound of what was there before.
 func TestCallInPiecesHasTime(t *testing.T) {
 	n := drainedNode(10, 10)
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -52,9 +52,9 @@
 	ready      bool
 	terminated time.Time // zero: no termination signal yet
 	plan       ShutdownPlan
-	closing    bool      // clients were asked to close, maybe sooner than the plan has it
-	drain      *Drain    // nil: operators let the node serve
-	orderedAt  time.Time // the last of the operators' orders came then
+	closing    bool   // clients were asked to close, maybe sooner than the plan has it
+	drain      *Drain // nil: operators let the node serve
+	ordered    Order  // the last of the operators' orders
 }
 
 // SetReady tells whether the node has servers to send to.
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"indigotack/internal/lifecycle"
 )
 
 // client is a client's connection, asked about what this process can't know by
@@ -80,18 +82,43 @@
 // request that has just been read, when it arrived, however long it lay
 // unread. It is now where the kernel can't tell.
 func (c client) spokeAt() time.Time {
+	at, _ := c.spoke()
+	return at
+}
+
+// kernelTick is the most by which the kernel's count of milliseconds is off.
+const kernelTick = 10 * time.Millisecond
+
+// unknownSlack is that of a time of which the kernel tells nothing.
+const unknownSlack = time.Hour
+
+// spoke is spokeAt, and by how much earlier or later it may have been.
+func (c client) spoke() (at time.Time, slack time.Duration) {
 	now, raw := time.Now(), c.raw()
 	if raw == nil {
-		return now
+		return now, unknownSlack
 	}
 	var info *unix.TCPInfo
 	err := raw.Control(func(fd uintptr) {
 		info, _ = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
 	if err != nil || info == nil {
-		return now
+		return now, unknownSlack
+	}
+	return now.Add(-time.Duration(info.Last_data_recv) * time.Millisecond), kernelTick + time.Since(now)
+}
+
+// order is what is known of when the order came that has just been read.
+func (c client) order() (o lifecycle.Order) {
+	if o.Came, o.Slack = c.spoke(); c.conn == nil {
+		return o
+	}
+	c.conn.of.mu.Lock()
+	defer c.conn.of.mu.Unlock()
+	if !c.conn.awaited {
+		o.Queue, o.Accepted = c.conn.of, c.conn.accepted
 	}
-	return now.Add(-time.Duration(info.Last_data_recv) * time.Millisecond)
+	return o
 }
 
 // left tells whether the client has ended its sending, or broken the
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -39,6 +39,7 @@
 	ahead     bool               // the first byte of the next request has been read
 	whole     bool               // a request's whole head has been read, and nothing of its answer is written
 	watched   bool
+	awaited   bool // its first bytes came only after it was accepted
 
 	head      head   // of the request that is being read
 	rest      []byte // of what was read, for the next reads
@@ -86,6 +87,7 @@
 			}
 		}
 		if errors.Is(err, syscall.EAGAIN) {
+			c.awaited = c.awaited || !c.carried && !c.head.begun()
 			return false
 		}
 		if c.refused && n > 0 {
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -96,7 +96,7 @@
 		http.Error(w, "want "+strings.Join(methods, ", "), http.StatusMethodNotAllowed)
 		return
 	}
-	status := carryOut(clientOf(r).spokeAt(), r.RemoteAddr)
+	status := carryOut(clientOf(r).order(), r.RemoteAddr)
 	f.calls.add(call, at)
 	f.note(slog.LevelInfo, "operator's call", eventOperator, call, "by", r.RemoteAddr, "at", at, "method", r.Method, "status", status)
 	f.writeStatus(w, r, status)
@@ -104,14 +104,14 @@
 
 // order is what the call of a path has carried out, and by which methods it
 // comes; nil if there is no such call.
-func (f *frontend) order(path string) (carryOut func(came time.Time, by string) (status int), methods []string) {
+func (f *frontend) order(path string) (carryOut func(o lifecycle.Order, by string) (status int), methods []string) {
 	switch path {
 	case appconfig.QuiescePath:
 		return f.orderDrain, orderMethods
 	case appconfig.ResumePath:
 		return f.orderResume, orderMethods
 	case appconfig.StatusPath:
-		return func(time.Time, string) int { return http.StatusOK }, []string{http.MethodGet}
+		return func(lifecycle.Order, string) int { return http.StatusOK }, []string{http.MethodGet}
 	}
 	return nil, nil
 }
@@ -140,11 +140,10 @@
 
 func drainReason(d *lifecycle.Drain) string { return "quiesced by " + d.By }
 
-// orderDrain takes no more requests, by an order that came then. It is harmless
-// again and again.
-func (f *frontend) orderDrain(came time.Time, by string) (status int) {
+// orderDrain takes no more requests. It is harmless again and again.
+func (f *frontend) orderDrain(o lifecycle.Order, by string) (status int) {
 	plan := f.plan()
-	if d := f.life.Drain(came, time.Now(), by, plan); d != nil {
+	if d := f.life.Drain(o, time.Now(), by, plan); d != nil {
 		f.note(slog.LevelInfo, "drained by an operator", eventPhase, lifecycle.Drained.String(), "by", by, "open_requests", f.inHand.Load(),
 			"connections", f.connections(), "answer_after", plan.Answer, "end_after", plan.End)
 		go f.carryOutDrain(d)
@@ -154,8 +153,8 @@
 }
 
 // orderResume takes requests again, unless the node was told to end.
-func (f *frontend) orderResume(came time.Time, by string) (status int) {
-	ended, denied := f.life.Resume(came)
+func (f *frontend) orderResume(o lifecycle.Order, by string) (status int) {
+	ended, denied := f.life.Resume(o)
 	if denied {
 		return http.StatusConflict
 	}
--- a/internal/node/resume_test.go
+++ b/internal/node/resume_test.go
@@ -44,7 +44,7 @@
 		conns = append(conns, c)
 	}
 	waitUntil(t, "the first requests to be in hand", func() bool { return n.front.inHand.Load() == requests })
-	n.front.orderDrain(time.Now(), "test")
+	n.front.orderDrain(lifecycle.Order{Came: time.Now()}, "test")
 	for i, c := range conns[requests:] {
 		fmt.Fprint(c, text("safe", fmt.Sprint("q", requests+i))[30:])
 	}
@@ -54,7 +54,7 @@
 		}
 	}
 	answers.Store(true)
-	n.front.orderResume(time.Now(), "test")
+	n.front.orderResume(lifecycle.Order{Came: time.Now()}, "test")
 	for i := range 10 {
 		c := n.dial(t)
 		c.ask(t, "saldo", fmt.Sprint("after", i), "20")
@@ -78,7 +78,7 @@
 			io.WriteString(c, okAnswer)
 		}
 	}))
-	n.front.orderDrain(time.Now(), "test")
+	n.front.orderDrain(lifecycle.Order{Came: time.Now()}, "test")
 	other := startNode(t, serving(t)) // whose discovery lists another server, by the same name
 	cfg := n.cfg
 	cfg.Discovery = other.cfg.Discovery
@@ -90,7 +90,7 @@
 	if resp, err := http.Get("http://" + n.address + "/health/live"); err != nil || resp.StatusCode != http.StatusOK {
 		t.Errorf("a drained node's check for life is answered %v, %v", resp, err)
 	}
-	n.front.orderResume(time.Now(), "test")
+	n.front.orderResume(lifecycle.Order{Came: time.Now()}, "test")
 	for i := range 5 {
 		c := n.dial(t)
 		c.ask(t, "saldo", fmt.Sprint("after", i), "20")
--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -10,6 +10,7 @@
 
 	"indigotack/decide"
 	"indigotack/internal/appconfig"
+	"indigotack/internal/lifecycle"
 	"indigotack/internal/standin"
 )
 
@@ -68,7 +69,7 @@
 			t.Errorf("after %s: %+v, %v, want %s and reason %q", c.path, s, ok, c.phase, c.reason)
 		}
 	}
-	n.front.orderDrain(time.Now(), "192.0.2.1:1234")
+	n.front.orderDrain(lifecycle.Order{Came: time.Now()}, "192.0.2.1:1234")
 	go n.logState()
 	want := `msg=state phase=drained phase_reason="quiesced by 192.0.2.1:1234" `
 	for until := time.Now().Add(stateEvery + enough); !strings.Contains(log.String(), want); time.Sleep(10 * time.Millisecond) {
