Tell a node of operators' address in each way of the table, as tests that fail

A node is told of an address for operators in 55 ways, among them control and GW_CONTROL on another host than listen, as a Unix socket's path, as a URL, as an object or a list, and as a place that has to be called. Operators then ask, drain and resume there, and a state line has to name the address.

The rig tells its nodes by the same forms; the way to call them there follows with the mend.

--- a/cmd/indigotack/admin_test.go
+++ b/cmd/indigotack/admin_test.go
@@ -27,15 +27,25 @@
 // orderNode gives a node an order and reads its answer; the status is 0 if there is none.
 func orderNode(t *testing.T, address, path string) (status int, s node.Status) {
 	t.Helper()
-	resp, err := http.Post("http://"+address+path, "", nil)
+	return orderAt(t, "tcp", address, path)
+}
+
+// orderAt does the same on any network.
+func orderAt(t *testing.T, network, address, path string) (status int, s node.Status) {
+	t.Helper()
+	method := http.MethodPost
 	if path == "/admin/status" {
-		resp, err = http.Get("http://" + address + path)
+		method = http.MethodGet
 	}
+	req, err := http.NewRequest(method, "http://node"+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := overNetwork(network, address).Do(req)
 	if err != nil {
 		return 0, s
 	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	body, err := readAll(resp)
 	if err != nil {
 		return 0, s
 	}
--- a/internal/rig/network.go
+++ b/internal/rig/network.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"slices"
 	"sync"
 
@@ -71,6 +72,16 @@
 }
 func (k *block) adminAt(i int) string { return k.at(i, adminPort) }
 
+// otherAdminAt is an address for operators on another host than the node's others.
+func (k *block) otherAdminAt(i int) string {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, k.a + peerBlock, k.b, byte(i + 1)}), adminPort).String()
+}
+
+// socketAt is the path of a Unix socket for a node's operators.
+func (k *block) socketAt(i int) string {
+	return filepath.Join(os.TempDir(), fmt.Sprintf("operators-%d-%d-%d-%d.sock", os.Getpid(), k.a, k.b, i))
+}
+
 // network is every link of a plan, with its relays.
 type network struct {
 	plan   *Plan
--- a/internal/rig/platform.go
+++ b/internal/rig/platform.go
@@ -6,7 +6,6 @@
 	"maps"
 	"os"
 	"path/filepath"
-	"strconv"
 	"time"
 
 	"indigotack/decide"
@@ -72,22 +71,23 @@
 	return standin.AddressForms[(int(n.of.plan.Seed%uint64(len(standin.AddressForms)))+n.i)%len(standin.AddressForms)]
 }
 
-// operatorsAt is operators' own address at the node, and its port.
-func (n *node) operatorsAt() (address, port string) {
-	return n.of.network.block.adminAt(n.i), strconv.Itoa(adminPort)
+// operatorsAt are operators' own addresses at the node.
+func (n *node) operatorsAt() standin.OperatorAddresses {
+	block := n.of.network.block
+	return standin.OperatorAddresses{Own: block.adminAt(n.i), Other: block.otherAdminAt(n.i), Socket: block.socketAt(n.i)}
 }
 
 // withOperators adds operators' address to a configuration.
 func (n *node) withOperators(keys map[string]any, settings []byte) (map[string]any, error) {
 	form, more, moreSettings := n.operatorsForm(), map[string]any{}, map[string]any{}
-	address, port := n.operatorsAt()
-	if err := json.Unmarshal([]byte("{"+form.Keys(address, port)+"}"), &more); err != nil {
+	addresses := n.operatorsAt()
+	if err := json.Unmarshal([]byte("{"+form.Keys(addresses)+"}"), &more); err != nil {
 		return nil, err
 	}
 	if err := json.Unmarshal(settings, &moreSettings); err != nil {
 		return nil, err
 	}
-	if err := json.Unmarshal([]byte("{"+form.Settings(address, port)+"}"), &moreSettings); err != nil {
+	if err := json.Unmarshal([]byte("{"+form.Settings(addresses)+"}"), &moreSettings); err != nil {
 		return nil, err
 	}
 	maps.Copy(keys, more)
