Hear operators at whatever address is told, and tell each that is not heard

Cause: the platform tells operators' address by control and GW_CONTROL. The program took an undocumented name's address only where it was a port or on the host of listen, as any other might be a place to call: a guess. A path, an object, a URL on another host were no address at all. What was passed over had no reason in the log.

Change: package operators, out of internal/node, has names, values and listeners. control and GW_CONTROL are documented names. An address of TCP is listened at on whatever host, with a URL's scheme and secrets aside and its path taken in front of calls too; a path, unix: or @name is a Unix socket (mode 0660; a stale one is replaced, a file that is none is left alone; removed at the end only if it is still this process's own). Host and port of an object belong together. What can't be had is tried again, after 10 ms at first and each second then. Where somebody else is there, the node connects every 15 s, sends no order, serves requests of HTTP that come on that connection as operators', and else asks GET / once. SIGHUP adds and removes addresses; one that stays is not interrupted. Each state line has every such name in operators_at, or in operators_not_at with address or kind of value and the reason.

Why it works: nothing is judged by its host any more; only the kernel says what can't be listened at.

Changed expectations of TestOperatorsAddressByName, each as strict: a second name of one address is joined to it and no longer unknown; host and port of an object give the host told, so the row has another host than listen's; an address on another host is heard; a value that is none is checked with its kind, and a whole name such as settings.control is among these, no longer among the unknown. TestAdminAddressThatIsTaken wants the reason in the state line as well.

--- a/cmd/indigotack/addresses_test.go
+++ b/cmd/indigotack/addresses_test.go
@@ -27,7 +27,7 @@
 func startTold(t *testing.T, form standin.AddressForm) (*drainNode, standin.OperatorAddresses) {
 	t.Helper()
 	n := newDrainNode(t)
-	addresses := standin.OperatorAddresses{Own: strings.Replace(n.address, ":5000", ":5001", 1), Other: freeAddress(t),
+	addresses := standin.OperatorAddresses{Own: strings.Replace(n.address, ":5000", ":5001", 1), Other: ownAddress(),
 		Socket: filepath.Join(socketFolder(t), "control.sock")}
 	if _, _, calls := form.Place(addresses); calls {
 		addresses.Caller = callBack(t)
@@ -128,7 +128,7 @@
 			for range 2 {
 				told := func(line string) bool {
 					_, not, is := strings.Cut(line, "operators_not_at=")
-					return is && strings.Contains(not, "control") && strings.Contains(not, form.Kind) && !strings.Contains(line, "unknown_names=")
+					return is && strings.Contains(not, "control") && strings.Contains(not, form.Kind) && !strings.Contains(line, "unknown_names=[control]")
 				}
 				if !lines.await(told, 10*time.Second) {
 					t.Fatalf("no regular line has control as %q", form.Kind)
@@ -144,7 +144,9 @@
 
 // overNetwork is a client of HTTP to one address, whatever the request names.
 func overNetwork(network, address string) *http.Client {
-	dial := func(ctx context.Context, _, _ string) (net.Conn, error) { return new(net.Dialer).DialContext(ctx, network, address) }
+	dial := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, network, address)
+	}
 	return &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dial}}
 }
 
--- a/cmd/indigotack/admin_test.go
+++ b/cmd/indigotack/admin_test.go
@@ -110,7 +110,7 @@
 	said := start(t, platformNode(t, listen, fmt.Sprintf(`"admin_listen":%q,`, held.Addr())))
 	awaitLine(t, said, "the address for operators can't be had")
 	awaitReady(t, listen)
-	awaitLine(t, said, "operators_not_at=["+held.Addr().String()+"(admin_listen)]")
+	awaitLine(t, said, `operators_not_at="[`+held.Addr().String()+"(admin_listen): in use")
 	held.Close()
 	awaitLine(t, said, "operators are answered")
 	if status, s := orderNode(t, held.Addr().String(), "/admin/status"); status != http.StatusOK || s.State != "ready" {
--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -13,6 +13,7 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime"
@@ -77,14 +78,16 @@
 	log, flush := logger(cfg.Name)
 	defer flush()
 	cfg.LogUnknown(log)
-	cfg.LogOperators(log)
+	cfg.Operators.Log(log, cfg.Listen)
 	ln, err := listen(ctx, cfg.Listen, log)
 	if err != nil {
 		return err
 	}
 	n := node.New(cfg, log)
-	stopAdmin := serveAdmin(n, cfg.Operators, log)
-	defer stopAdmin()
+	stopHearing := n.HearOperators(func(name string) http.Handler {
+		return admin.Answers{Orders: n.Operators(name), Counters: n.Counters()}
+	})
+	defer stopHearing()
 	logSignals(context.WithoutCancel(ctx), n.NoteSignal)
 	go reloadOn(context.WithoutCancel(ctx), hangup.Signals, log, func() error {
 		if err := node.CheckFile(path); err != nil {
@@ -93,6 +96,7 @@
 		next, err := node.LoadConfig(path)
 		if err == nil {
 			next.LogUnknown(log)
+			next.Operators.Log(log, next.Listen)
 			n.Reload(next)
 		}
 		return err
@@ -131,7 +135,7 @@
 			return nil, fmt.Errorf("admin: %w", err)
 		}
 		const name = "admin.address"
-		srv := s.ServeOperators(ln, name, admin.Answers{Orders: s.Operators(name), Counters: s.Counters(), Peers: p})
+		srv := s.ServeOperators(ln, admin.Answers{Orders: s.Operators(name), Counters: s.Counters(), Peers: p})
 		end = append(end, func() { srv.Close() })
 	}
 	return leave, nil
--- a/internal/ctl/orders_test.go
+++ b/internal/ctl/orders_test.go
@@ -161,10 +161,10 @@
 		}
 		cfg, err := node.LoadConfig(write(t, "config.json", string(raw)))
 		admin := ""
-		if len(cfg.Operators) == 1 {
-			admin = cfg.Operators[0].Address
+		if len(cfg.Operators.Addresses) == 1 {
+			admin = cfg.Operators.Addresses[0].Address
 		}
-		if err != nil || admin != want || len(cfg.Operators) > 1 || strings.Contains(string(raw), "admin") != (want != "") {
+		if err != nil || admin != want || len(cfg.Operators.Addresses) > 1 || strings.Contains(string(raw), "admin") != (want != "") {
 			t.Errorf("admin address %q, %v, want %q in:\n%s", admin, err, want, raw)
 		}
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"indigotack/decide"
+	"indigotack/internal/operators"
 	"indigotack/internal/wire"
 )
 
@@ -22,10 +23,10 @@
 // Config is what a node is told at its start.
 type Config struct {
 	Name      string
-	Listen    string            // where clients connect
-	Discovery string            // where the list of servers comes from
-	Operators []OperatorAddress // where operators are answered beside Listen
-	Peer      string            // where datagrams of other nodes would come; "": nowhere
+	Listen    string          // where clients connect
+	Discovery string          // where the list of servers comes from
+	Operators operators.Found // where operators are answered, also beside Listen
+	Peer      string          // where datagrams of other nodes would come; "": nowhere
 	Seed      int64
 	MemoryMB  int
 	Sockets   int // file descriptors
@@ -33,10 +34,8 @@
 
 	known list // the servers as the node last had them
 
-	operatorsOnListen string // the name by which Listen was told as operators' address too; "": it was not
-	unheard           []unheardAddress
-	unknownKeys       []string // of the configuration
-	unknownVariables  []string // of the environment
+	unknownKeys      []string // of the configuration
+	unknownVariables []string // of the environment
 }
 
 // LoadConfig reads the configuration file at path.
@@ -50,7 +49,7 @@
 		return Config{}, fmt.Errorf("config %s: %w", path, err)
 	}
 	environment := os.Environ()
-	c.findOperators(raw, environment)
+	c.Operators = operators.Find(raw, environment, c.Listen)
 	c.findUnknown(raw, environment)
 	return c, nil
 }
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -46,10 +46,10 @@
 	orders  ordersOnListen
 	reserve reserve
 
-	operatorAddresses int // beside the one where clients connect, at least 1
+	operatorListeners operatorListeners // beside the one where clients connect
 
-	tellsCounters bool   // on the address where clients connect
-	drainChanged  func() // called after a drain has begun or ended; must not wait
+	tellsCounters atomic.Bool // on the address where clients connect
+	drainChanged  func()      // called after a drain has begun or ended; must not wait
 }
 
 // times bounds what the front waits for on its connections.
@@ -64,7 +64,7 @@
 }
 
 func newFrontend(o *observer, most int) *frontend {
-	f := &frontend{observer: o, most: most, health: "/health", operatorAddresses: 1, times: times{headTime, readTime, writeTime, idleTime}}
+	f := &frontend{observer: o, most: most, health: "/health", times: times{headTime, readTime, writeTime, idleTime}}
 	f.drain = f.drainOn
 	f.drainChanged = func() {}
 	return f
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,12 +9,12 @@
 	"net"
 	"net/http"
 	"reflect"
-	"slices"
 	"time"
 
 	"indigotack/decide"
 	"indigotack/internal/appconfig"
 	"indigotack/internal/metrics"
+	"indigotack/internal/operators"
 )
 
 // Node is one load-balancing proxy node on a platform: one pool of servers,
@@ -23,7 +23,8 @@
 	*owner
 	cfg       Config
 	front     *frontend
-	discovery *discovery // the loop's
+	discovery *discovery           // the loop's
+	listeners *operators.Listeners // operators' own; nil: HearOperators was not called
 }
 
 // New makes a node; Run starts it.
@@ -50,9 +51,15 @@
 // connect, as it takes each call for an operator's.
 func (n *Node) Operators(name string) http.Handler { return n.front.operators(name) }
 
-// ServeOperators answers operators on a listener of their own until the server is closed.
-func (n *Node) ServeOperators(ln net.Listener, name string, answers http.Handler) *http.Server {
-	return n.front.serveOperators(ln, name, answers)
+// HearOperators hears operators at the addresses that the node was told, and will
+// be told by Reload, until stop is called. What answers them on an address is made
+// for the name that told it.
+func (n *Node) HearOperators(answers func(name string) http.Handler) (stop func()) {
+	serve := func(ln net.Listener, name, prefix string) *http.Server {
+		return n.front.serveOperators(ln, operators.WithoutPrefix(prefix, answers(name)))
+	}
+	n.listeners = operators.Start(n.cfg.Operators, n.cfg.Name, serve, n.log)
+	return n.listeners.Close
 }
 
 // Counters are what the node has counted since it was made.
@@ -95,12 +102,18 @@
 }
 
 // Reload takes up a configuration that was read anew while the node runs: it
-// follows the list of servers at the new address. All else needs a restart.
+// follows the list of servers at the new address, and hears operators where they
+// are now. All else needs a restart.
 func (n *Node) Reload(cfg Config) {
+	n.front.tellsCounters.Store(len(cfg.Operators.OnListen) > 0)
+	if n.listeners != nil {
+		n.listeners.Update(cfg.Operators)
+	}
 	n.post(func() {
-		if cfg.Listen != n.cfg.Listen || !slices.Equal(cfg.Operators, n.cfg.Operators) || cfg.Seed != n.cfg.Seed || cfg.MemoryMB != n.cfg.MemoryMB || cfg.Sockets != n.cfg.Sockets ||
+		n.cfg.unknownKeys, n.cfg.unknownVariables = cfg.unknownKeys, cfg.unknownVariables
+		if cfg.Listen != n.cfg.Listen || cfg.Seed != n.cfg.Seed || cfg.MemoryMB != n.cfg.MemoryMB || cfg.Sockets != n.cfg.Sockets ||
 			!reflect.DeepEqual(cfg.Settings, n.cfg.Settings) {
-			n.log.Warn("of the new configuration only discovery is taken up; the rest needs a restart")
+			n.log.Warn("of the new configuration only discovery and operators' addresses are taken up; the rest needs a restart")
 		}
 		if cfg.Discovery == n.cfg.Discovery {
 			return
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -54,7 +54,7 @@
 func (f *frontend) operatorCall(w http.ResponseWriter, r *http.Request) bool {
 	hasClass := len(r.Header.Values("X-Class")) > 0
 	switch {
-	case f.tellsCounters && r.URL.Path == metricsPath && r.Method == http.MethodGet && !hasClass:
+	case f.tellsCounters.Load() && r.URL.Path == metricsPath && r.Method == http.MethodGet && !hasClass:
 		f.counters.ServeHTTP(w, r)
 	case f.orders == ordersByPath && isOperators(r.URL.Path), f.orders == ordersWithoutClass && !hasClass && appconfig.IsCall(r.URL.Path):
 		f.answerOperator(w, r, onListen)
--- a/internal/node/operatorserver_test.go
+++ b/internal/node/operatorserver_test.go
@@ -14,10 +14,10 @@
 // TestSilentConnectionsHoldUpNoOperator guards against a call at operators' own address that waits behind connections on which nothing comes.
 func TestSilentConnectionsHoldUpNoOperator(t *testing.T) {
 	n := startNode(t)
-	srv := n.ServeOperators(onLoopback(t), "test", n.Operators("test"))
+	ln := onLoopback(t)
+	srv := n.front.serveOperators(ln, n.Operators("test"))
 	defer srv.Close()
-	own := n.calls.addresses()[0]
-	own = own[:len(own)-len("(test)")]
+	own := ln.Addr().String()
 	for range 2 * operatorConns {
 		c, err := net.Dial("tcp", own)
 		if err != nil {
--- a/internal/node/sidecar.go
+++ b/internal/node/sidecar.go
@@ -90,8 +90,8 @@
 func (s *Sidecar) Operators(name string) http.Handler { return s.front.operators(name) }
 
 // ServeOperators answers operators on a listener of their own until the server is closed.
-func (s *Sidecar) ServeOperators(ln net.Listener, name string, answers http.Handler) *http.Server {
-	return s.front.serveOperators(ln, name, answers)
+func (s *Sidecar) ServeOperators(ln net.Listener, answers http.Handler) *http.Server {
+	return s.front.serveOperators(ln, answers)
 }
 
 // Drained tells whether operators have the sidecar drained.
--- a/internal/node/spare.go
+++ b/internal/node/spare.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"sync"
 
 	"indigotack/internal/neterr"
@@ -33,6 +34,16 @@
 	return true
 }
 
+// close has no spares any more.
+func (s *spareDescriptors) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, file := range s.files {
+		file.Close() // it was only opened, so nothing is lost by an error
+	}
+	s.files, s.most = nil, 0
+}
+
 // reserve is the spare descriptors of operators' own listeners, which go before
 // clients' connections. It is safe for concurrent use; nil has none.
 type reserve struct {
@@ -46,6 +57,14 @@
 	r.spares = append(r.spares, s)
 }
 
+// remove has the spare descriptors of a listener no more, which is closed.
+func (r *reserve) remove(s *spareDescriptors) {
+	r.mu.Lock()
+	r.spares = slices.DeleteFunc(r.spares, func(other *spareDescriptors) bool { return other == s })
+	r.mu.Unlock()
+	s.close()
+}
+
 // hold has all the spares but those lent, and is false if no descriptor is left for one.
 func (r *reserve) hold() bool {
 	if r == nil {
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -27,8 +27,8 @@
 	openRequests      int
 	clientConnections int
 
-	operatorsAt  []string // operators' own addresses, with the names that told them
-	notAt        []string // those of them that can't be had
+	operatorsAt  []string // where operators are heard, with the names that told it
+	notAt        []string // where they are not, and what is no address, each with the reason
 	calls        []string // of operators since the start, by the address that heard them
 	unknownNames []string // of the configuration and the environment
 	unread       int      // connections and requests that were refused or closed before a request was taken, since the last line
@@ -92,7 +92,10 @@
 	front := n.front.status()
 	s := nodeState{phase: front.State, reason: front.Reason, listVersion: n.listVersion, discoveryAnswered: n.discovery.answeredAgo(),
 		servers: len(n.entries), openRequests: len(n.requests), clientConnections: front.Connections,
-		operatorsAt: n.calls.addresses(), notAt: n.calls.missing(n.cfg.Operators), calls: n.calls.summary(), unknownNames: n.cfg.unknownNames()}
+		calls: n.calls.summary(), unknownNames: n.cfg.unknownNames()}
+	if n.listeners != nil {
+		s.operatorsAt, s.notAt = n.listeners.At(), n.listeners.NotAt()
+	}
 	for name, e := range n.entries {
 		if states[e.Status] == decide.Draining {
 			s.draining = append(s.draining, name)
--- a/internal/node/unknown.go
+++ b/internal/node/unknown.go
@@ -7,12 +7,10 @@
 	"strings"
 
 	"indigotack/internal/jsonkeys"
+	"indigotack/internal/operators"
 	"indigotack/internal/wire"
 )
 
-// environmentPrefix begins the names of all variables that a platform sets for a node.
-const environmentPrefix = "GW_"
-
 // mostUnknown is how many unknown names are logged one by one.
 const mostUnknown = 20
 
@@ -36,6 +34,8 @@
 	AdminListen any `json:"admin_listen"`
 	Admin       struct {
 	} `json:"admin"`
+	Control struct {
+	} `json:"control"`
 }
 
 // knownVariables are those that a platform may set for a node.
@@ -45,14 +45,8 @@
 // that has been read and in an environment in the form of os.Environ. Those by
 // which operators' addresses were told are known.
 func (c *Config) findUnknown(raw []byte, environment []string) {
-	c.unknownKeys = slices.DeleteFunc(unknownKeys(raw), c.namesOperators)
-	c.unknownVariables = slices.DeleteFunc(unknownVariables(environment), c.namesOperators)
-}
-
-// namesOperators tells whether operators' address was told by a name, or below it.
-func (c *Config) namesOperators(name string) bool {
-	told := func(by string) bool { return by == name || strings.HasPrefix(by, name+".") }
-	return told(c.operatorsOnListen) || slices.ContainsFunc(c.Operators, func(o OperatorAddress) bool { return told(o.Name) })
+	c.unknownKeys = slices.DeleteFunc(unknownKeys(raw), c.Operators.Knows)
+	c.unknownVariables = slices.DeleteFunc(unknownVariables(environment), c.Operators.Knows)
 }
 
 // unknownKeys gives the keys of a configuration that the node does not know, in order.
@@ -74,7 +68,7 @@
 func unknownVariables(environment []string) (unknown []string) {
 	for _, variable := range environment {
 		name, _, _ := strings.Cut(variable, "=")
-		if strings.HasPrefix(name, environmentPrefix) && !slices.Contains(knownVariables, name) && !slices.Contains(documentedVariables, name) {
+		if strings.HasPrefix(name, operators.EnvironmentPrefix) && !slices.Contains(knownVariables, name) && !operators.IsDocumentedVariable(name) {
 			unknown = append(unknown, name)
 		}
 	}
