Rehearse operators' orders at each address that a node may be told

The rig's operators call at the place that the node's form tells: TCP on another host, a Unix socket, an abstract one, or a connection that the node makes to a place it has to call. The checker operators wants each regular line of a node's log to tell that place, 1.5 s after its start at the latest.

--- a/internal/rig/check_operators.go
+++ b/internal/rig/check_operators.go
@@ -12,13 +12,14 @@
 
 // What operators expect of a node that they order to drain or to resume.
 const (
-	orderAnswer  = 50 * time.Millisecond  // from an order to its answer
-	notReadyTime = 100 * time.Millisecond // from an order to drain to the node being not ready
-	readyAgain   = 300 * time.Millisecond // from an order to resume to the node being ready
-	refusalTime  = 300 * time.Millisecond // from a request at a drained node to its refusal
-	newcomerTime = 500 * time.Millisecond // for a connection that was made after the order to drain
-	resumeLooked = time.Second            // within which a node that resumed is looked at
-	accountTime  = 500 * time.Millisecond // from a refusal to the line of the log that tells of it
+	orderAnswer  = 50 * time.Millisecond   // from an order to its answer
+	notReadyTime = 100 * time.Millisecond  // from an order to drain to the node being not ready
+	readyAgain   = 300 * time.Millisecond  // from an order to resume to the node being ready
+	refusalTime  = 300 * time.Millisecond  // from a request at a drained node to its refusal
+	newcomerTime = 500 * time.Millisecond  // for a connection that was made after the order to drain
+	resumeLooked = time.Second             // within which a node that resumed is looked at
+	listenTime   = 1500 * time.Millisecond // from a node's start to operators' address, at the latest
+	accountTime  = 500 * time.Millisecond  // from a refusal to the line of the log that tells of it
 )
 
 // operatorDrain is a time in which operators had a node drained. It counts from
@@ -65,12 +66,13 @@
 	judges := []func(*findings) int{
 		func(f *findings) int { return h.judgeOrders(f, orders) },
 		h.judgeMisreads,
+		h.judgeStated,
 		func(f *findings) int { return h.judgePolls(f, drains) },
 		func(f *findings) int { return h.judgeHeld(f, drains) },
 		func(f *findings) int { return h.judgeDrainedRequests(f, drains) },
 	}
 	if h.untimed() {
-		judges = judges[:2] // what is answered, and logged at all, is no matter of time
+		judges = judges[:3] // what is answered, and logged at all, is no matter of time
 	}
 	for _, judge := range judges {
 		f := &findings{h: h, name: "operators"}
@@ -243,6 +245,30 @@
 	return looked
 }
 
+// judgeStated looks for nodes whose log does not tell where they hear operators.
+func (h *History) judgeStated(f *findings) (looked int) {
+	up := map[string]int64{}
+	for i := range h.Events {
+		e := &h.Events[i]
+		switch {
+		case e.What == Up:
+			up[e.Node] = e.At
+		case e.What != Stated || e.At > h.end || h.isYoung(e, up[e.Node]):
+		default:
+			if looked++; e.N != 1 {
+				f.add(e.Node, e.At, "%s hears operators at %s, which its regular line does not tell", e.Node, e.Text)
+			}
+		}
+	}
+	return looked
+}
+
+// isYoung tells whether a node's run is so young that its address may not be
+// had yet, as the run before may hold it.
+func (h *History) isYoung(e *Event, up int64) bool {
+	return anyMeets(h.starved[e.Node], up, e.At) || e.At-up < int64(listenTime+h.lateness(up, e.At))
+}
+
 func (h *History) judgePolls(f *findings, drains []operatorDrain) (looked int) {
 	for i := range h.Events {
 		e := &h.Events[i]
--- a/internal/rig/history.go
+++ b/internal/rig/history.go
@@ -47,6 +47,7 @@
 	Closed      = "closed"      // that connection has ended: ID, Node, Text (by whom: node, client)
 	Misread     = "misread"     // a node was sent something that it refuses: ID (the connection's own address), Node, Text (what), N (status of the answer)
 	Accounted   = "accounted"   // a node's log tells of that: ID, Node
+	Stated      = "stated"      // a regular line of a node's log: Node, Text (where it hears operators, or has to call), N (1: the line tells it)
 	Phase       = "phase"       // Text: load, quiet, end
 )
 
--- a/internal/rig/network.go
+++ b/internal/rig/network.go
@@ -27,6 +27,7 @@
 	firstServer   = 10000 // where a node finds server 0
 	peerPort      = 7946
 	adminPort     = 9900
+	callerPort    = 9901
 	peerBlock     = 64 // nodes themselves listen for peers at their address with so much more in its second byte
 )
 
@@ -77,6 +78,9 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, k.a + peerBlock, k.b, byte(i + 1)}), adminPort).String()
 }
 
+// callerAt is a place that a node may be told to call for its operators' orders.
+func (k *block) callerAt(i int) string { return k.at(i, callerPort) }
+
 // socketAt is the path of a Unix socket for a node's operators.
 func (k *block) socketAt(i int) string {
 	return filepath.Join(os.TempDir(), fmt.Sprintf("operators-%d-%d-%d-%d.sock", os.Getpid(), k.a, k.b, i))
--- a/internal/rig/node.go
+++ b/internal/rig/node.go
@@ -30,6 +30,7 @@
 	freed    func()        // ends its starving
 	crowd    *crowd        // at its door; the actor's
 	operator *operator
+	caller   *caller  // where it has its operators' orders, if it is told to call; nil: it is not
 	out      *os.File // its log
 	misreads sync.Map // own addresses of connections on which something was sent that it refuses, until its log tells of it
 }
@@ -140,6 +141,7 @@
 	}
 	n.mu.Unlock()
 	n.accountFor(line)
+	n.noteState(line)
 	if bytes.Contains(line, []byte("level=INFO")) || bytes.Contains(line, []byte("level=DEBUG")) {
 		return
 	}
--- a/internal/rig/operators.go
+++ b/internal/rig/operators.go
@@ -128,17 +128,19 @@
 	o.held.Wait()
 }
 
-// order gives the node an order in a form and at an address that are drawn, and
+// order gives the node an order in a form and at a place that are drawn, and
 // notes it and its answer.
 func (o *operator) order(path string) {
-	form, address := o.draw()
+	form, at := o.draw()
 	method, _, _ := strings.Cut(form.For(path), " ")
 	o.orders++
 	e := Event{What: Commanded, Node: o.node.name, ID: fmt.Sprintf("order-%s-%d", o.node.name, o.orders), Text: method + " " + path,
-		Class: form.Name, Peer: address}
-	o.node.of.log.note(e)
-	sent := time.Now()
-	status, err := call(o.node.of.ctx, address, form.For(path), nil)
+		Class: form.Name, Peer: at.String()}
+	var sent time.Time
+	status, err := at.send(o.node.of.ctx, form.For(path), func() {
+		o.node.of.log.note(e)
+		sent = time.Now()
+	})
 	if e.What, e.Text = Replied, strconv.Itoa(status); err != nil {
 		e.Text = err.Error()
 	}
@@ -146,15 +148,42 @@
 	o.node.of.log.note(e)
 }
 
-// draw is a form of an order and an address where the node hears it. A sidecar
+// orderPlace is where a node hears an order.
+type orderPlace struct {
+	network, address string
+	caller           *caller // that the node calls; nil: it listens
+}
+
+func (p orderPlace) String() string { return p.network + " " + p.address }
+
+// send sends a call and gives the status of the answer. begins is called before
+// anything is sent.
+func (p orderPlace) send(ctx context.Context, text string, begins func()) (status int, err error) {
+	if p.caller != nil {
+		return p.caller.call(ctx, text, begins)
+	}
+	begins()
+	return call(ctx, p.network, p.address, text, nil)
+}
+
+// draw is a form of an order and a place where the node hears it. A sidecar
 // hears operators at an address of its own, a platform's node also where clients connect.
-func (o *operator) draw() (form standin.CallForm, address string) {
-	block := o.node.of.network.block
-	form, address = standin.CallForms[o.rng.IntN(len(standin.CallForms))], block.adminAt(o.node.i)
-	if o.node.of.plan.Platform && o.rng.IntN(2) == 0 {
-		address = block.nodeAt(o.node.i)
+func (o *operator) draw() (form standin.CallForm, at orderPlace) {
+	n := o.node
+	block := n.of.network.block
+	form, at = standin.CallForms[o.rng.IntN(len(standin.CallForms))], orderPlace{network: "tcp", address: block.adminAt(n.i)}
+	if !n.of.plan.Platform {
+		return form, at
+	}
+	if o.rng.IntN(2) == 0 {
+		at.address = block.nodeAt(n.i)
+		return form, at
 	}
-	return form, address
+	network, address, calls := n.operatorsForm().Place(n.operatorsAt())
+	if at = (orderPlace{network: network, address: address}); calls {
+		at.caller = n.caller
+	}
+	return form, at
 }
 
 // drawRefused is something that looks like an order and is refused at once, with
@@ -169,10 +198,10 @@
 
 // call sends a call on a connection of its own, and gives the status of the
 // answer. made is told the connection's own address before anything is sent; it may be nil.
-func call(ctx context.Context, address, text string, made func(own string)) (status int, err error) {
+func call(ctx context.Context, network, address, text string, made func(own string)) (status int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	conn, err := new(net.Dialer).DialContext(ctx, network, address)
 	if err != nil {
 		return 0, err
 	}
@@ -184,7 +213,11 @@
 	if _, err := io.WriteString(conn, text); err != nil {
 		return 0, err
 	}
-	answers := bufio.NewReader(conn)
+	return readStatus(conn, bufio.NewReader(conn))
+}
+
+// readStatus reads an answer and gives its status.
+func readStatus(conn net.Conn, answers *bufio.Reader) (status int, err error) {
 	resp, err := http.ReadResponse(answers, nil)
 	if err == nil && resp.StatusCode == http.StatusContinue {
 		io.WriteString(conn, "{}") // a connection that has failed has no answer either
@@ -202,7 +235,7 @@
 // node's log has to tell of it.
 func (n *node) misread(form standin.RefusedForm) {
 	e := Event{What: Misread, Node: n.name, Text: form.Name}
-	status, err := call(n.of.ctx, n.of.network.block.nodeAt(n.i), form.Text, func(own string) {
+	status, err := call(n.of.ctx, "tcp", n.of.network.block.nodeAt(n.i), form.Text, func(own string) {
 		e.ID = own
 		n.misreads.Store(own, true)
 	})
--- a/internal/rig/platform.go
+++ b/internal/rig/platform.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -74,7 +75,45 @@
 // operatorsAt are operators' own addresses at the node.
 func (n *node) operatorsAt() standin.OperatorAddresses {
 	block := n.of.network.block
-	return standin.OperatorAddresses{Own: block.adminAt(n.i), Other: block.otherAdminAt(n.i), Socket: block.socketAt(n.i)}
+	return standin.OperatorAddresses{Own: block.adminAt(n.i), Other: block.otherAdminAt(n.i), Socket: block.socketAt(n.i),
+		Caller: block.callerAt(n.i)}
+}
+
+// openCaller opens the place that a node calls for its orders, if it is told to.
+func (n *node) openCaller() (err error) {
+	if !n.of.plan.Platform || !n.of.plan.quiesces() {
+		return nil
+	}
+	if _, address, calls := n.operatorsForm().Place(n.operatorsAt()); calls {
+		n.caller, err = newCaller(address)
+	}
+	return err
+}
+
+// closeCaller closes it, and removes what a killed node has left of its socket.
+func (n *node) closeCaller() {
+	if n.caller != nil {
+		n.caller.close()
+	}
+	os.Remove(n.of.network.block.socketAt(n.i)) // there seldom is one
+}
+
+// noteState notes what a regular line of a node's log says of operators' address.
+func (n *node) noteState(line []byte) {
+	if !n.of.plan.Platform || !n.of.plan.quiesces() || !bytes.Contains(line, []byte("msg=state")) {
+		return
+	}
+	network, address, calls := n.operatorsForm().Place(n.operatorsAt())
+	key := "operators_at="
+	if calls {
+		key = "operators_not_at="
+	}
+	_, told, _ := bytes.Cut(line, []byte(key))
+	e := Event{What: Stated, Node: n.name, Text: network + " " + address}
+	if bytes.Contains(told, []byte(address)) {
+		e.N = 1
+	}
+	n.of.log.note(e)
 }
 
 // withOperators adds operators' address to a configuration.
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -65,6 +65,7 @@
 	actors.Wait()
 	for _, n := range f.nodes {
 		n.operator.release()
+		n.closeCaller()
 	}
 	if raised != nil {
 		return nil, errors.Join(raised, f.lower())
@@ -136,6 +137,9 @@
 		if n.out, err = os.Create(filepath.Join(n.dir, "log")); err == nil {
 			err = n.file()
 		}
+		if err == nil {
+			err = n.openCaller()
+		}
 		if err == nil {
 			err = n.start()
 		}
