Tell of which kind the value of each unknown name is

Change: the warning at the start and the state line (unknown_values, beside unknown_names) name the kind of each value: text of N bytes, number, object with its keys, list of N; never the value, which may be secret. jsonkeys gives the values of unknown keys.

Tests: TestStateLineTellsOfOperators and TestUnknownKeysAndVariablesAreLoggedWithoutValues want the kinds too, which no line had before.

--- a/cmd/indigotack/forms_test.go
+++ b/cmd/indigotack/forms_test.go
@@ -128,7 +128,7 @@
 func TestStateLineTellsOfOperators(t *testing.T) {
 	n := newDrainNode(t)
 	own := strings.Replace(n.address, ":5000", ":5001", 1)
-	n.config = strings.Replace(n.config, `{"name"`, fmt.Sprintf(`{"ops_listen":%q,"odd1":1,"odd2":1,"odd3":1,"odd4":1,"odd5":1,"name"`, own), 1)
+	n.config = strings.Replace(n.config, `{"name"`, fmt.Sprintf(`{"ops_listen":%q,"odd1":1,"odd2":"topsecret","odd3":{"at":1},"odd4":1,"odd5":1,"name"`, own), 1)
 	n.start(t)
 	awaitReady(t, n.address)
 	lines := keepLines(n.said)
@@ -142,7 +142,7 @@
 	if status, _ := orderNode(t, own, "/admin/resume"); status != http.StatusOK {
 		t.Errorf("resume at operators' address: %d", status)
 	}
-	wants := []string{"operators_at=[" + own + "(ops_listen)]", `operator_calls="[quiesce@listen=1 resume@ops_listen=1]"`, `unknown_names="[odd1 odd2 odd3]"`, "more_unknown_names=2"}
+	wants := []string{"operators_at=[" + own + "(ops_listen)]", `operator_calls="[quiesce@listen=1 resume@ops_listen=1]"`, `unknown_names="[odd1 odd2 odd3]"`, `unknown_values="number; text of 9 bytes; object with at"`, "more_unknown_names=2"}
 	if !lines.await(func(line string) bool { return strings.Contains(line, "msg=state") && containsAll(line, wants) }, 5*time.Second) {
 		t.Errorf("no regular line has all of %q", wants)
 	}
--- a/internal/jsonkeys/jsonkeys.go
+++ b/internal/jsonkeys/jsonkeys.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"reflect"
 	"slices"
 	"strings"
@@ -14,39 +15,44 @@
 // share one path. What is below such a key is not looked at. As for
 // encoding/json, capitals make no difference. Raw that can't be read has none.
 func Unknown(raw json.RawMessage, value any) []string {
-	unknown := below(raw, reflect.TypeOf(value), "")
-	slices.Sort(unknown)
-	return slices.Compact(unknown)
+	return slices.Sorted(maps.Keys(UnknownValues(raw, value)))
 }
 
-// below gives the unknown paths of a document that is read into a type.
-func below(raw json.RawMessage, t reflect.Type, prefix string) (unknown []string) {
+// UnknownValues gives the values of those keys by their paths; of several of one
+// path, the last.
+func UnknownValues(raw json.RawMessage, value any) map[string]json.RawMessage {
+	unknown := map[string]json.RawMessage{}
+	collect(raw, reflect.TypeOf(value), "", unknown)
+	return unknown
+}
+
+// collect adds the unknown keys of a document that is read into a type.
+func collect(raw json.RawMessage, t reflect.Type, prefix string, unknown map[string]json.RawMessage) {
 	switch t.Kind() {
 	case reflect.Pointer:
-		return below(raw, t.Elem(), prefix)
+		collect(raw, t.Elem(), prefix, unknown)
 	case reflect.Slice:
 		var elements []json.RawMessage
 		if t.Elem().Kind() == reflect.Uint8 || json.Unmarshal(raw, &elements) != nil {
-			return nil
+			return
 		}
 		for _, element := range elements {
-			unknown = append(unknown, below(element, t.Elem(), prefix)...)
+			collect(element, t.Elem(), prefix, unknown)
 		}
 	case reflect.Struct:
 		var values map[string]json.RawMessage
 		if json.Unmarshal(raw, &values) != nil {
-			return nil
+			return
 		}
 		fields := fieldsOf(t)
 		for key, value := range values {
 			if field, known := fields[strings.ToLower(key)]; known {
-				unknown = append(unknown, below(value, field, prefix+key+".")...)
+				collect(value, field, prefix+key+".", unknown)
 			} else {
-				unknown = append(unknown, prefix+key)
+				unknown[prefix+key] = value
 			}
 		}
 	}
-	return unknown
 }
 
 // fieldsOf are the types of a struct's fields by their keys in small letters.
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -34,8 +34,8 @@
 
 	known list // the servers as the node last had them
 
-	unknownKeys      []string // of the configuration
-	unknownVariables []string // of the environment
+	unknownKeys      []unknownValue // of the configuration
+	unknownVariables []unknownValue // of the environment
 }
 
 // LoadConfig reads the configuration file at path.
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"slices"
+	"strings"
 	"time"
 
 	"indigotack/decide"
@@ -31,6 +32,7 @@
 	notAt        []string // where they are not, and what is no address, each with the reason
 	calls        []string // of operators since the start, by the address that heard them
 	unknownNames []string // of the configuration and the environment
+	unknownKinds []string // of their values
 	unread       int      // connections and requests that were refused or closed before a request was taken, since the last line
 	unreadNewest string   // what the newest of them that said something began with, and why it was refused
 }
@@ -52,10 +54,11 @@
 	if len(s.calls) > 0 {
 		all = append(all, "operator_calls", s.calls)
 	}
+	if told := min(len(s.unknownNames), unknownInState); told > 0 {
+		all = append(all, "unknown_names", s.unknownNames[:told], "unknown_values", strings.Join(s.unknownKinds[:told], "; "))
+	}
 	if more := len(s.unknownNames) - unknownInState; more > 0 {
-		all = append(all, "unknown_names", s.unknownNames[:unknownInState], "more_unknown_names", more)
-	} else if more > -unknownInState {
-		all = append(all, "unknown_names", s.unknownNames)
+		all = append(all, "more_unknown_names", more)
 	}
 	if s.unread > 0 {
 		all = append(all, "unread", s.unread)
@@ -92,7 +95,8 @@
 	front := n.front.status()
 	s := nodeState{phase: front.State, reason: front.Reason, listVersion: n.listVersion, discoveryAnswered: n.discovery.answeredAgo(),
 		servers: len(n.entries), openRequests: len(n.requests), clientConnections: front.Connections,
-		calls: n.calls.summary(), unknownNames: n.cfg.unknownNames()}
+		calls: n.calls.summary()}
+	s.unknownNames, s.unknownKinds = n.cfg.unknownNames()
 	if n.listeners != nil {
 		s.operatorsAt, s.notAt = n.listeners.At(), n.listeners.NotAt()
 	}
--- a/internal/node/told_test.go
+++ b/internal/node/told_test.go
@@ -80,8 +80,9 @@
 			for _, r := range got.Operators.Refused {
 				unheard = append(unheard, r.Name+" "+r.Value)
 			}
+			names, _ := got.unknownNames()
 			for what, is := range map[string][2]string{"heard": {strings.Join(heard, ","), c.heard}, "unheard": {strings.Join(unheard, ","), c.unheard},
-				"unknown": {strings.Join(got.unknownNames(), ","), c.unknown}} {
+				"unknown": {strings.Join(names, ","), c.unknown}} {
 				if is[0] != is[1] {
 					t.Errorf("%s are %q, want %q", what, is[0], is[1])
 				}
--- a/internal/node/unknown_test.go
+++ b/internal/node/unknown_test.go
@@ -28,7 +28,7 @@
 	if len(lines) != 4 {
 		t.Fatalf("%d lines, want one each of three keys and a variable:\n%s", len(lines), strings.Join(lines, "\n"))
 	}
-	for i, want := range []string{"key=limits.fans", "key=orders", "key=settings.unheard_of", "variable=GW_COLOUR"} {
+	for i, want := range []string{`value="text of 9 bytes" key=limits.fans`, `value="object with at" key=orders`, "value=number key=settings.unheard_of", `value="text of 9 bytes" variable=GW_COLOUR`} {
 		has := func(line string) bool { return strings.HasSuffix(line, want) && strings.Contains(line, "level=WARN") }
 		if !slices.ContainsFunc(lines, has) {
 			t.Errorf("line %d: no warning that ends with %s:\n%s", i, want, strings.Join(lines, "\n"))
--- a/internal/operators/kind.go
+++ b/internal/operators/kind.go
@@ -33,6 +33,15 @@
 	return fmt.Sprintf("%T", value)
 }
 
+// KindOf is Kind of a value as it is written.
+func KindOf(raw json.RawMessage) string {
+	value, err := decode(raw)
+	if err != nil {
+		return "no JSON"
+	}
+	return Kind(value)
+}
+
 func objectKind(object map[string]any) string {
 	if len(object) == 0 {
 		return "empty object"
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -8,9 +8,11 @@
 	"indigotack/internal/jsonkeys"
 )
 
-// UnknownSettings gives the keys of settings that DecodeSettings passes over, as
-// paths in order.
-func UnknownSettings(raw json.RawMessage) []string { return jsonkeys.Unknown(raw, profile{}) }
+// UnknownSettings gives the values of settings that DecodeSettings passes over, by
+// their keys with dots between them.
+func UnknownSettings(raw json.RawMessage) map[string]json.RawMessage {
+	return jsonkeys.UnknownValues(raw, profile{})
+}
 
 // EncodeSettings writes settings in the form that DecodeSettings reads.
 func EncodeSettings(s decide.Settings) ([]byte, error) {
