Log what connects to peer_listen by TCP

It does not where operators' own address is the same.

Test: TestConnectionsToPeerListenLeaveALine, which had nobody to connect to before.

--- a/internal/node/datagrams_test.go
+++ b/internal/node/datagrams_test.go
@@ -40,3 +40,25 @@
 		t.Errorf("%d are counted, the newest %q", count, newest)
 	}
 }
+
+// TestConnectionsToPeerListenLeaveALine guards against a call that comes to peer_listen by TCP, has no answer and leaves no trace.
+func TestConnectionsToPeerListenLeaveALine(t *testing.T) {
+	log, address := &standin.LogBuffer{}, onLoopback(t)
+	address.Close()
+	o := newObserver(slog.New(slog.NewTextHandler(log, nil)))
+	go o.noteStreams(t.Context(), address.Addr().String())
+	for said, want := range map[string]string{"POST /admin/quiesce HTTP/1.1\r\nHost: node\r\n\r\n": `said="POST /admin/quiesce HTTP/1.1"`, "": `said=""`} {
+		waitUntil(t, "a line with "+want, func() bool {
+			c, err := net.Dial("tcp", address.Addr().String()) // the node may not listen yet
+			if err != nil {
+				return false
+			}
+			defer c.Close()
+			fmt.Fprint(c, said)
+			if _, err := c.Read(make([]byte, 1)); err == nil {
+				t.Error("the connection is answered")
+			}
+			return strings.Contains(log.String(), want) && strings.Contains(log.String(), "reason=stream")
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -146,6 +146,9 @@
 	go n.logState()
 	if n.cfg.Peer != "" {
 		go n.noteDatagrams(n.ctx, n.cfg.Peer)
+		if !n.cfg.Operators.At(n.cfg.Peer) {
+			go n.noteStreams(n.ctx, n.cfg.Peer)
+		}
 	}
 	n.cfg.known.note(n.log)
 	n.post(func() { n.follow(n.cfg.known.Entries, n.cfg.known.Index, decide.ListCached) })
--- a/internal/node/unread.go
+++ b/internal/node/unread.go
@@ -26,6 +26,7 @@
 	unreadNoRoom      = "no_room"
 	unreadBehind      = "behind_last_answer"
 	unreadDatagram    = "datagram"
+	unreadStream      = "stream"
 )
 
 // unreadReasons are the reasons of net/http's own answers, by what these say.
--- a/internal/operators/told.go
+++ b/internal/operators/told.go
@@ -236,6 +236,13 @@
 	r.found.Addresses = append(r.found.Addresses, Address{e, []string{Shortened(name)}})
 }
 
+// At tells whether operators are to be heard at an address of TCP.
+func (f Found) At(address string) bool {
+	return slices.ContainsFunc(f.Addresses, func(a Address) bool {
+		return a.Network == networkTCP && sameListener(a.Address, address)
+	})
+}
+
 // Log tells by which names the address where clients connect was told, and what
 // may have been meant as operators' address and is none.
 func (f Found) Log(log *slog.Logger, listen string) {
