Log keys of discovery's servers that are not known

Larger lists cost no more.

Test: TestWhatDiscoverySaysAndIsNotKnownLeavesALine wants a server's key too; without the change it fails.

--- a/internal/node/discoverykeys_test.go
+++ b/internal/node/discoverykeys_test.go
@@ -18,7 +18,7 @@
 			http.Redirect(w, r, "/moved", http.StatusTemporaryRedirect)
 			return
 		}
-		fmt.Fprint(w, `{"index":1,"snapshot":true,"instances":[{"name":"secret"}],"endpoints":[]}`)
+		fmt.Fprint(w, `{"index":1,"snapshot":true,"instances":[{"name":"secret"}],"endpoints":[{"name":"a","address":"127.0.0.1:1","status":"ready","drain_by":"secret"},{"name":"b","status":"gone","drain_by":1}]}`)
 	}))
 	defer disc.Close()
 	log := &standin.LogBuffer{}
@@ -29,7 +29,7 @@
 		}
 	}
 	said := log.String()
-	if strings.Count(said, "key=instances") != 1 || !strings.Contains(said, "discovery sends a call elsewhere") || strings.Contains(said, "secret") {
-		t.Errorf("want one line that tells of the key instances, and one of the redirection, without values:\n%s", said)
+	if strings.Count(said, "key=instances") != 1 || strings.Count(said, "key=endpoints.drain_by") != 1 || !strings.Contains(said, "discovery sends a call elsewhere") || strings.Contains(said, "secret") {
+		t.Errorf("want one line that tells of the key instances, one of drain_by, and one of the redirection, without values:\n%s", said)
 	}
 }
--- a/internal/node/list.go
+++ b/internal/node/list.go
@@ -9,8 +9,10 @@
 	"io"
 	"log/slog"
 	"net"
+	"slices"
 
 	"indigotack/decide"
+	"indigotack/internal/jsonkeys"
 )
 
 // Bounds of a list.
@@ -92,6 +94,7 @@
 			return err
 		}
 		e, err := parseEntry(raw)
+		l.noteUnknown(raw, e)
 		if err != nil {
 			if l.refused++; len(l.why) < maxRefused {
 				l.why = append(l.why, fmt.Errorf("%s: %w", raw[:min(len(raw), 200)], err))
@@ -104,6 +107,22 @@
 	return err
 }
 
+// looksAtEntries is how many entries of a list are looked at for unknown keys,
+// beside those that say something else than ready.
+const looksAtEntries = 16
+
+// noteUnknown keeps the keys of an entry that say nothing to the node.
+func (l *list) noteUnknown(raw json.RawMessage, e entry) {
+	if len(l.Entries)+l.refused >= looksAtEntries && states[e.Status] == decide.Ready || len(l.unknown) >= mostUnknown {
+		return
+	}
+	for _, key := range jsonkeys.Unknown(raw, entry{}) {
+		if name := "endpoints." + key; !slices.Contains(l.unknown, name) {
+			l.unknown = append(l.unknown, name)
+		}
+	}
+}
+
 // note tells of entries that could not be used.
 func (l *list) note(log *slog.Logger) {
 	if l.refused > 0 {
