Tell what a node knows, is told and makes no use of, with the reason

Change: one line at the start, 'told and not used', with name, kind of value and reason; a variable is in it only where the configuration says otherwise.

Test: TestWhatIsKnownAndNotUsedHasAReason.

--- a/cmd/indigotack/main.go
+++ b/cmd/indigotack/main.go
@@ -78,6 +78,7 @@
 	log, flush := logger(cfg.Name)
 	defer flush()
 	cfg.LogUnknown(log)
+	cfg.LogUnused(log)
 	cfg.Operators.Log(log, cfg.Listen)
 	ln, err := listen(ctx, cfg.Listen, log)
 	if err != nil {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -36,6 +36,7 @@
 
 	unknownKeys      []unknownValue // of the configuration
 	unknownVariables []unknownValue // of the environment
+	unused           []unusedValue
 }
 
 // LoadConfig reads the configuration file at path.
@@ -51,6 +52,7 @@
 	environment := os.Environ()
 	c.Operators = operators.Find(raw, environment, c.Listen)
 	c.findUnknown(raw, environment)
+	c.unused = unusedValues(raw, environment)
 	return c, nil
 }
 
--- a/internal/node/unknown_test.go
+++ b/internal/node/unknown_test.go
@@ -55,3 +55,19 @@
 		t.Errorf("logged: %s", strings.Join(lines, "\n"))
 	}
 }
+
+// TestWhatIsKnownAndNotUsedHasAReason guards against values that the node knows and passes over with no reason in the log.
+func TestWhatIsKnownAndNotUsedHasAReason(t *testing.T) {
+	t.Setenv("GW_LISTEN", "127.9.9.9:1")
+	t.Setenv("GW_NAME", "n3")
+	log, c := &standin.LogBuffer{}, loaded(t, strings.Replace(goodConfig, `"name":"n3"`, `"name":"n3","peers_all":"127.9.9.9:2"`, 1))
+	c.LogUnused(slog.New(slog.NewTextHandler(log, nil)))
+	for _, want := range []string{"limits.cores (number): " + whyNoCores, "peers (list of 0): " + whyNoPeers, "peers_all (text of 11 bytes): " + whyNoPeers, "GW_LISTEN (text of 11 bytes): " + whyOtherConfig} {
+		if !strings.Contains(log.String(), want) {
+			t.Errorf("no line has %q:\n%s", want, log)
+		}
+	}
+	if strings.Contains(log.String(), "127.9.9.9") || strings.Contains(log.String(), "GW_NAME") {
+		t.Errorf("a value is logged, or a variable that agrees:\n%s", log)
+	}
+}
