--- a/internal/operators/listener.go
+++ b/internal/operators/listener.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"strings"
 	"syscall"
 	"time"
 
@@ -75,10 +76,11 @@
 	file os.FileInfo // of the socket as it was made
 }
 
-// listen listens at an endpoint. Its error is an *unavailable.
-func (e Endpoint) listen(ctx context.Context) (*listener, error) {
+// listen listens at an endpoint. Its error is an *unavailable. A socket that the
+// kernel lists is only connected to where askListed says so.
+func (e Endpoint) listen(ctx context.Context, askListed bool) (*listener, error) {
 	if e.Network == networkUnix {
-		return listenUnix(ctx, e.Address)
+		return listenUnix(ctx, e.Address, askListed)
 	}
 	address, err := resolve(ctx, e.Address)
 	if err != nil {
@@ -117,12 +119,15 @@
 
 // listenUnix listens on a Unix socket. A file of one that nobody listens on any
 // more is replaced, and any other file left alone.
-func listenUnix(ctx context.Context, path string) (*listener, error) {
+func listenUnix(ctx context.Context, path string, askListed bool) (*listener, error) {
 	if why := pathTooLong(path); why != "" {
 		return nil, &unavailable{why, false, nil}
 	}
 	ln, err := bindUnix(path)
 	if errors.Is(err, syscall.EADDRINUSE) && path[0] != '@' {
+		if !askListed && isListed(path) {
+			return nil, &unavailable{inUse, true, nil}
+		}
 		if err := removeStale(ctx, path); err != nil {
 			return nil, err
 		}
@@ -156,6 +161,25 @@
 	return &listener{ln, path, file}, nil
 }
 
+// listedListening is the flag of a socket that is listened on, in the kernel's list.
+const listedListening = "00010000"
+
+// isListed tells whether the kernel's list of Unix sockets has one that is
+// listened on under a path. False says nothing.
+func isListed(path string) bool {
+	list, err := os.ReadFile("/proc/net/unix")
+	if err != nil {
+		return false
+	}
+	for line := range strings.Lines(string(list)) {
+		fields := strings.Fields(line)
+		if len(fields) == 8 && fields[3] == listedListening && fields[7] == path {
+			return true
+		}
+	}
+	return false
+}
+
 // removeStale removes a socket's file on which nobody listens. Its error, an
 // *unavailable, says why what is there stays.
 func removeStale(ctx context.Context, path string) error {
--- a/internal/operators/listeners.go
+++ b/internal/operators/listeners.go
@@ -183,7 +183,7 @@
 	defer background.Wait()
 	defer e.visitor.stop()
 	for wait := firstRetry; ctx.Err() == nil; wait = min(2*wait, mostRetry) {
-		ln, err := e.endpoint.listen(ctx)
+		ln, err := e.endpoint.listen(ctx, e.visitor.refused())
 		if err != nil {
 			e.refused(err)
 			if taken(err) {
--- a/internal/operators/visitor.go
+++ b/internal/operators/visitor.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"indigotack/internal/neterr"
 )
 
 const (
@@ -31,6 +33,7 @@
 	mu     sync.Mutex
 	end    context.CancelFunc // nil: it does not run
 	result string
+	denied bool // the last connection was refused
 }
 
 // start has the place visited until stop is called, or ctx ends.
@@ -43,9 +46,7 @@
 	ctx, v.end = context.WithCancel(ctx)
 	running.Go(func() {
 		for wait := firstVisit; pause(ctx, wait); {
-			if wait = visitEvery; v.visit(ctx, e) {
-				wait = visitAgain
-			}
+			wait = v.visit(ctx, e)
 		}
 	})
 }
@@ -78,14 +79,31 @@
 	}
 }
 
+// refused tells whether the last connection was refused, so that nobody is there.
+func (v *visitor) refused() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.denied
+}
+
+func (v *visitor) noteRefused(err error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.denied = errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // visit connects once. Requests that come on the connection are served as
-// operators' are; nothing of a client's, and no order, is ever sent. It tells
-// whether requests came.
-func (v *visitor) visit(ctx context.Context, e *entry) (requests bool) {
+// operators' are; nothing of a client's, and no order, is ever sent. It gives
+// when to connect again.
+func (v *visitor) visit(ctx context.Context, e *entry) (again time.Duration) {
 	conn, err := e.endpoint.dial(ctx)
+	v.noteRefused(err)
 	if err != nil {
 		v.note(e, "no connection: %v", err)
-		return false
+		if neterr.OutOfDescriptors(err) {
+			return mostRetry
+		}
+		return visitEvery
 	}
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	defer conn.Close()
@@ -100,12 +118,12 @@
 	default:
 		return v.ask(ctx, e, conn)
 	}
-	return false
+	return visitEvery
 }
 
 // ask asks once what is there on a connection on which nothing has come, and
 // keeps it for requests where that has no answer either.
-func (v *visitor) ask(ctx context.Context, e *entry, conn net.Conn) (requests bool) {
+func (v *visitor) ask(ctx context.Context, e *entry, conn net.Conn) (again time.Duration) {
 	err := e.askWho(conn)
 	said := ""
 	if err == nil {
@@ -123,14 +141,14 @@
 	case err != nil:
 		v.note(e, "connects, says nothing, and closes on GET /: %v", err)
 	}
-	return false
+	return visitEvery
 }
 
 // serve answers the requests that come on a connection.
-func (v *visitor) serve(ctx context.Context, e *entry, conn net.Conn, said string) (requests bool) {
+func (v *visitor) serve(ctx context.Context, e *entry, conn net.Conn, said string) (again time.Duration) {
 	v.note(e, "connects, and requests come: %q", said)
 	e.serveConnection(ctx, conn)
-	return true
+	return visitAgain
 }
 
 // dial connects to who is at the endpoint.
