Count a drain ordered on a Unix socket from a pause in which it may have come

Change: a node that hears operators on a Unix socket notes when it did not run (looks 50 ms apart); what is read within 50 ms behind such a pause counts from its beginning.

Tests: TestDrainedNodeHoldsNoClient and TestResumedNodeServes run where clients connect, on another host and on a socket: 51 subtests.

--- a/cmd/indigotack/addresses_test.go
+++ b/cmd/indigotack/addresses_test.go
@@ -26,7 +26,7 @@
 // startTold starts a node that is told of operators' addresses in a form.
 func startTold(t *testing.T, form standin.AddressForm) (*drainNode, standin.OperatorAddresses) {
 	t.Helper()
-	n := newDrainNode(t)
+	n := newDrainNode(t, onListen)
 	addresses := standin.OperatorAddresses{Own: strings.Replace(n.address, ":5000", ":5001", 1), Other: ownAddress(),
 		Socket: filepath.Join(socketFolder(t), "control.sock")}
 	if _, _, calls := form.Place(addresses); calls {
@@ -121,7 +121,7 @@
 	for _, form := range standin.UntoldForms {
 		t.Run(form.Name, func(t *testing.T) {
 			t.Parallel()
-			n := newDrainNode(t)
+			n := newDrainNode(t, onListen)
 			n.config = strings.Replace(n.config, "{", "{"+form.Keys+",", 1)
 			n.start(t)
 			lines := keepLines(n.said)
--- a/cmd/indigotack/drain_test.go
+++ b/cmd/indigotack/drain_test.go
@@ -17,7 +17,7 @@
 
 // TestDrainedNodeHoldsNoClient guards against clients that a drained node takes on, or holds past the longest deadline and 0.7 s.
 func TestDrainedNodeHoldsNoClient(t *testing.T) {
-	for name, test := range map[string]func(*testing.T){
+	for name, test := range map[string]func(*testing.T, orderWay){
 		"clients of before the call":                   clientsOfBeforeTheCall,
 		"connections that come after the call":         connectionsAfterTheCall,
 		"a second call does not move the bound":        secondCallDoesNotMoveTheBound,
@@ -26,36 +26,30 @@
 		"the process stood still across the call":      stoodStillAcrossTheCall,
 		"the process stood still across the bound":     stoodStillAcrossTheBound,
 		"the process stood still behind a connection":  stoodStillBehindNewConnections,
-		"a reload keeps the drain":                     func(t *testing.T) { reloadKeepsTheDrain(t, false) },
-		"a reload that moves discovery keeps the same": func(t *testing.T) { reloadKeepsTheDrain(t, true) },
+		"a reload keeps the drain":                     func(t *testing.T, way orderWay) { reloadKeepsTheDrain(t, way, false) },
+		"a reload that moves discovery keeps the same": func(t *testing.T, way orderWay) { reloadKeepsTheDrain(t, way, true) },
 	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			test(t)
-		})
+		byEachWay(t, name, test)
 	}
 }
 
 // TestResumedNodeServes guards against a node that serves late, loses a request or forgets its drain around a resume.
 func TestResumedNodeServes(t *testing.T) {
-	for name, test := range map[string]func(*testing.T){
-		"during the drain":              func(t *testing.T) { resumed(t, 0) },
-		"after the drain":               func(t *testing.T) { resumed(t, drainBound) },
+	for name, test := range map[string]func(*testing.T, orderWay){
+		"during the drain":              func(t *testing.T, way orderWay) { resumed(t, way, 0) },
+		"after the drain":               func(t *testing.T, way orderWay) { resumed(t, way, drainBound) },
 		"in series under load":          resumedInSeries,
 		"behind a stand of the process": resumedBehindAStand,
 		"before the first list":         resumedBeforeTheFirstList,
 		"not once told to end":          notResumedOnceToldToEnd,
 		"by a restart":                  readyAfterARestart,
 	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			test(t)
-		})
+		byEachWay(t, name, test)
 	}
 }
 
-func clientsOfBeforeTheCall(t *testing.T) {
-	n := startDrainNode(t)
+func clientsOfBeforeTheCall(t *testing.T, way orderWay) {
+	n := startDrainNode(t, way)
 	conns := map[string]*net.TCPConn{}
 	open := func(name string, conn *net.TCPConn, text string) *net.TCPConn {
 		conns[name] = conn
@@ -158,8 +152,8 @@
 	return err
 }
 
-func connectionsAfterTheCall(t *testing.T) {
-	n := startDrainNode(t)
+func connectionsAfterTheCall(t *testing.T, way orderWay) {
+	n := startDrainNode(t, way)
 	inHand := n.dial(t)
 	io.WriteString(inHand, requestText("debit", "hang", "hang", time.Minute))
 	n.server.awaitHeld(t, "hang")
@@ -183,17 +177,17 @@
 	n.checkHealth(t, false, "after the bound")
 }
 
-func secondCallDoesNotMoveTheBound(t *testing.T) {
-	n := startDrainNode(t)
+func secondCallDoesNotMoveTheBound(t *testing.T, way orderWay) {
+	n := startDrainNode(t, way)
 	conns := map[string]*net.TCPConn{"at a server that hangs": n.dial(t), "silent": n.dial(t)}
 	hang := conns["at a server that hangs"]
 	io.WriteString(hang, requestText("debit", "hang", "hang", time.Minute))
 	n.server.awaitHeld(t, "hang")
 	awaitTaken(t, conns["silent"])
 	called := time.Now()
-	first := n.ask(quiesceCall, 2*time.Second)
+	first := n.askOperators(quiesceCall, 2*time.Second)
 	time.Sleep(time.Until(called.Add(drainBound * 3 / 4)))
-	second := n.ask(quiesceCall, 2*time.Second)
+	second := n.askOperators(quiesceCall, 2*time.Second)
 	for _, got := range []reply{first, second} {
 		if wrong := checkOrder(got); wrong != "" {
 			t.Error(wrong)
@@ -211,8 +205,8 @@
 	awaitReleased(t, conns, bound)
 }
 
-func overWithTheLastAnswer(t *testing.T) {
-	n := startDrainNode(t)
+func overWithTheLastAnswer(t *testing.T, way orderWay) {
+	n := startDrainNode(t, way)
 	conns := map[string]*net.TCPConn{"in hand": n.dial(t)}
 	for i := range 3 {
 		c := n.dial(t)
@@ -234,8 +228,8 @@
 	awaitReleased(t, conns, time.Now().Add(machineSlack))
 }
 
-func whatClientsAskIsNoCommand(t *testing.T) {
-	n := startDrainNode(t)
+func whatClientsAskIsNoCommand(t *testing.T, way orderWay) {
+	n := startDrainNode(t, way)
 	at := func(path, text string) string { return strings.Replace(text, " /api/x ", " "+path+" ", 1) }
 	for _, path := range []string{"/api/admin/quiesce", "/administration/quiesce"} {
 		for _, class := range []string{"page", "order", "debit"} {
@@ -296,14 +290,14 @@
 	}
 }
 
-func stoodStillAcrossTheCall(t *testing.T) {
-	n := startDrainNode(t)
+func stoodStillAcrossTheCall(t *testing.T, way orderWay) {
+	n := startDrainNode(t, way)
 	conns := holdClients(t, n)
 	n.signal(t, syscall.SIGSTOP)
 	n.awaitStanding(t)
 	sendWhileStanding(conns)
 	answer := make(chan reply, 1)
-	go func() { answer <- n.ask(quiesceCall, standTime+2*time.Second) }()
+	go func() { answer <- n.askOperators(quiesceCall, standTime+2*time.Second) }()
 	time.Sleep(standTime)
 	woke := time.Now()
 	n.signal(t, syscall.SIGCONT)
@@ -315,8 +309,8 @@
 	checkLetGo(t, n, conns, woke)
 }
 
-func stoodStillAcrossTheBound(t *testing.T) {
-	n := startDrainNode(t)
+func stoodStillAcrossTheBound(t *testing.T, way orderWay) {
+	n := startDrainNode(t, way)
 	conns := holdClients(t, n)
 	n.order(t, quiesceCall)
 	n.signal(t, syscall.SIGSTOP)
@@ -328,8 +322,8 @@
 	checkLetGo(t, n, conns, woke)
 }
 
-func stoodStillBehindNewConnections(t *testing.T) {
-	n := startDrainNode(t)
+func stoodStillBehindNewConnections(t *testing.T, way orderWay) {
+	n := startDrainNode(t, way)
 	n.order(t, quiesceCall)
 	conns := map[string]*net.TCPConn{}
 	for i := range 8 {
@@ -374,14 +368,14 @@
 	n.checkHealth(t, false, "after the process has stood still")
 }
 
-func reloadKeepsTheDrain(t *testing.T, moves bool) {
-	n := startDrainNode(t)
+func reloadKeepsTheDrain(t *testing.T, way orderWay, moves bool) {
+	n := startDrainNode(t, way)
 	conns := holdClients(t, n)
 	called := n.order(t, quiesceCall)
 	next, logged := strings.Replace(n.config, `"seed":"1f"`, `"seed":"2f"`, 1), "needs a restart"
 	if moves {
 		agent := newScriptedAgent(map[string]string{"s0": n.server.Listener.Addr().String()})
-		next, logged = configFor(n.address, serveAgent(t, agent)), "discovery has moved"
+		next, logged = way.tell(n, configFor(n.address, serveAgent(t, agent))), "discovery has moved"
 	}
 	path := strings.TrimPrefix(n.cmd.Env[len(n.cmd.Env)-1], "GW_CONFIG=")
 	if err := os.WriteFile(path, []byte(next), 0o600); err != nil {
@@ -406,8 +400,8 @@
 
 // resumed checks a resume so long after the drain began, and the request that
 // was in hand in between.
-func resumed(t *testing.T, after time.Duration) {
-	n := startDrainNode(t)
+func resumed(t *testing.T, way orderWay, after time.Duration) {
+	n := startDrainNode(t, way)
 	inHand, idle := n.dial(t), n.dial(t)
 	io.WriteString(idle, requestText("page", "idle", "x", longestDeadline))
 	if got := readReply(idle); got.status != http.StatusOK {
@@ -454,9 +448,9 @@
 	status   int
 }
 
-func resumedInSeries(t *testing.T) {
+func resumedInSeries(t *testing.T, way orderWay) {
 	const series, clients = 20, 8
-	n := startDrainNode(t)
+	n := startDrainNode(t, way)
 	var mu sync.Mutex
 	var answers []answered
 	var lost []string
@@ -559,14 +553,14 @@
 	}
 }
 
-func resumedBehindAStand(t *testing.T) {
-	n := startDrainNode(t)
+func resumedBehindAStand(t *testing.T, way orderWay) {
+	n := startDrainNode(t, way)
 	for i := range 10 {
 		n.signal(t, syscall.SIGSTOP)
 		n.awaitStanding(t)
-		conns := map[string]*net.TCPConn{}
+		conns := map[string]net.Conn{}
 		for _, call := range []string{quiesceCall, resumeCall} { // both lie unread as it wakes, one behind the other
-			conns[call] = n.dial(t)
+			conns[call] = n.dialOperators(t)
 			if _, err := io.WriteString(conns[call], call); err != nil {
 				t.Fatal(err)
 			}
@@ -583,16 +577,16 @@
 	}
 }
 
-func resumedBeforeTheFirstList(t *testing.T) {
-	n := newDrainNode(t)
+func resumedBeforeTheFirstList(t *testing.T, way orderWay) {
+	n := newDrainNode(t, way)
 	speaks := make(chan struct{})
-	n.config = configFor(n.address, serveAgent(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	n.config = way.tell(n, configFor(n.address, serveAgent(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
 		case <-speaks:
 			n.agent.ServeHTTP(w, r)
 		case <-r.Context().Done():
 		}
-	})))
+	}))))
 	n.start(t)
 	eventually(t, startTime, "the node listens", func() bool { return n.ask(get("/health/live"), time.Second).status == http.StatusOK })
 	n.order(t, quiesceCall)
@@ -609,8 +603,8 @@
 	n.checkServed(t, "served")
 }
 
-func notResumedOnceToldToEnd(t *testing.T) {
-	n := startDrainNode(t)
+func notResumedOnceToldToEnd(t *testing.T, way orderWay) {
+	n := startDrainNode(t, way)
 	inHand := n.dial(t)
 	io.WriteString(inHand, requestText("debit", "gate", "gate", time.Minute))
 	n.server.awaitHeld(t, "gate")
@@ -633,7 +627,7 @@
 	signaled := time.Now()
 	n.signal(t, syscall.SIGTERM)
 	n.awaitLine(t, "termination signal", 2*time.Second)
-	if got := n.ask(resumeCall, time.Second); got.status != http.StatusConflict {
+	if got := n.askOperators(resumeCall, time.Second); got.status != http.StatusConflict {
 		t.Errorf("resume: %v, want 409", got)
 	}
 	n.checkHealth(t, false, "after the resume that was denied")
@@ -654,8 +648,8 @@
 	}
 }
 
-func readyAfterARestart(t *testing.T) {
-	n := startDrainNode(t)
+func readyAfterARestart(t *testing.T, way orderWay) {
+	n := startDrainNode(t, way)
 	n.order(t, quiesceCall)
 	n.checkHealth(t, false, "after the call")
 	n.signal(t, syscall.SIGTERM)
--- a/cmd/indigotack/drainnode_test.go
+++ b/cmd/indigotack/drainnode_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -104,21 +105,59 @@
 
 // drainNode is the program with a platform's configuration.
 type drainNode struct {
-	address  string
-	config   string
-	variable string // of the environment; "": none
-	server   *pathServer
-	agent    *scriptedAgent
-	cmd      *exec.Cmd
-	said     <-chan string
+	address              string
+	network, operatorsAt string // where it hears operators
+	config               string
+	variable             string // of the environment; "": none
+	server               *pathServer
+	agent                *scriptedAgent
+	cmd                  *exec.Cmd
+	said                 <-chan string
+}
+
+// orderWay is a way by which operators' orders reach a node.
+type orderWay int
+
+const (
+	onListen  orderWay = iota // where clients connect
+	onAddress                 // an address of their own, on another host
+	onSocket                  // a Unix socket
+)
+
+func (w orderWay) String() string {
+	return [...]string{"", "at an address of their own", "on a socket"}[w]
+}
+
+// byEachWay runs a test by each way of orders, beside others.
+func byEachWay(t *testing.T, name string, test func(*testing.T, orderWay)) {
+	for _, way := range []orderWay{onListen, onAddress, onSocket} {
+		t.Run(strings.TrimSpace(name+" "+way.String()), func(t *testing.T) {
+			t.Parallel()
+			test(t, way)
+		})
+	}
+}
+
+// tell adds the way to a node's configuration.
+func (w orderWay) tell(n *drainNode, config string) string {
+	if w == onListen {
+		return config
+	}
+	return strings.Replace(config, "{", fmt.Sprintf(`{"control":%q,`, n.operatorsAt), 1)
 }
 
 // newDrainNode prepares a node that is to be started.
-func newDrainNode(t *testing.T) *drainNode {
+func newDrainNode(t *testing.T, way orderWay) *drainNode {
 	t.Helper()
-	n := &drainNode{address: ownAddress(), server: newPathServer(t)}
+	n := &drainNode{address: ownAddress(), network: "tcp", server: newPathServer(t)}
+	switch n.operatorsAt = n.address; way {
+	case onAddress:
+		n.operatorsAt = ownAddress()
+	case onSocket:
+		n.network, n.operatorsAt = "unix", filepath.Join(socketFolder(t), "control.sock")
+	}
 	n.agent = newScriptedAgent(map[string]string{"s0": n.server.Listener.Addr().String()})
-	n.config = configFor(n.address, serveAgent(t, n.agent))
+	n.config = way.tell(n, configFor(n.address, serveAgent(t, n.agent)))
 	return n
 }
 
@@ -149,11 +188,12 @@
 }
 
 // startDrainNode starts a node and waits until it is ready.
-func startDrainNode(t *testing.T) *drainNode {
+func startDrainNode(t *testing.T, way orderWay) *drainNode {
 	t.Helper()
-	n := newDrainNode(t)
+	n := newDrainNode(t, way)
 	n.start(t)
 	awaitReady(t, n.address)
+	eventually(t, startTime, "operators are heard", func() bool { return n.askOperators(get("/admin/status"), time.Second).status == http.StatusOK })
 	return n
 }
 
@@ -217,9 +257,18 @@
 
 // ask sends text on a connection of its own and reads the answer.
 func (n *drainNode) ask(text string, most time.Duration) (got reply) {
+	return askAt("tcp", n.address, text, most)
+}
+
+// askOperators does so where the node hears operators.
+func (n *drainNode) askOperators(text string, most time.Duration) (got reply) {
+	return askAt(n.network, n.operatorsAt, text, most)
+}
+
+func askAt(network, address, text string, most time.Duration) (got reply) {
 	began := time.Now()
 	defer func() { got.took = time.Since(began) }()
-	conn, err := net.DialTimeout("tcp", n.address, most)
+	conn, err := net.DialTimeout(network, address, most)
 	if err != nil {
 		return reply{err: err}
 	}
@@ -236,7 +285,7 @@
 func readReply(conn net.Conn) reply { return readReplyAfter("", conn) }
 
 // readReplies reads what comes on each of some connections until a time.
-func readReplies(conns map[string]*net.TCPConn, by time.Time) map[string]reply {
+func readReplies[C net.Conn](conns map[string]C, by time.Time) map[string]reply {
 	var mu sync.Mutex
 	var reading sync.WaitGroup
 	got := map[string]reply{}
@@ -301,7 +350,7 @@
 func (n *drainNode) order(t *testing.T, call string) time.Time {
 	t.Helper()
 	sent := time.Now()
-	if wrong := checkOrder(n.ask(call, 2*time.Second)); wrong != "" {
+	if wrong := checkOrder(n.askOperators(call, 2*time.Second)); wrong != "" {
 		t.Errorf("%q: %s", strings.Fields(call)[1], wrong)
 	}
 	return sent
@@ -360,6 +409,17 @@
 	return n.dialWith(t, net.Dialer{})
 }
 
+// dialOperators opens an operator's connection.
+func (n *drainNode) dialOperators(t *testing.T) net.Conn {
+	t.Helper()
+	conn, err := net.Dial(n.network, n.operatorsAt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
 func (n *drainNode) dialWith(t *testing.T, d net.Dialer) *net.TCPConn {
 	t.Helper()
 	conn, err := d.Dial("tcp", n.address)
--- a/cmd/indigotack/forms_test.go
+++ b/cmd/indigotack/forms_test.go
@@ -15,7 +15,7 @@
 
 // TestCallInAnyFormDrains guards against operators' calls that are refused, or sent to a server, for their form.
 func TestCallInAnyFormDrains(t *testing.T) {
-	n := startDrainNode(t)
+	n := startDrainNode(t, onListen)
 	for _, form := range standin.CallForms {
 		for _, order := range []struct {
 			path  string
@@ -36,7 +36,7 @@
 
 // TestCallInPiecesDrains guards against a call without a Host that is refused where it comes in pieces, also by a node that is drained.
 func TestCallInPiecesDrains(t *testing.T) {
-	n := startDrainNode(t)
+	n := startDrainNode(t, onListen)
 	for _, order := range []struct{ path, state string }{{"/admin/quiesce", "drained"}, {"/admin/resume", "ready"}} {
 		conn := n.dial(t)
 		for _, b := range []byte("POST " + order.path + " HTTP/1.1\r\nAccept: */*\r\n\r\n") {
@@ -57,7 +57,7 @@
 
 // TestWhatIsRefusedLeavesALine guards against what comes, is not understood and leaves no trace.
 func TestWhatIsRefusedLeavesALine(t *testing.T) {
-	n := startDrainNode(t)
+	n := startDrainNode(t, onListen)
 	lines := keepLines(n.said)
 	for _, c := range standin.RefusedForms {
 		got := n.ask(c.Text, refusedWithin)
@@ -93,7 +93,7 @@
 
 // TestCallBehindAnotherLeavesALine guards against a call in a pipeline that is dropped without a trace, as the answer before it ends the connection.
 func TestCallBehindAnotherLeavesALine(t *testing.T) {
-	n := startDrainNode(t)
+	n := startDrainNode(t, onListen)
 	lines := keepLines(n.said)
 	const status = "GET /admin/status HTTP/1.1\r\nHost: node\r\n\r\n"
 	for i, c := range []struct{ text, dropped string }{
@@ -126,7 +126,7 @@
 
 // TestStateLineTellsOfOperators guards against a log of regular lines from which no report can tell whether operators' calls came.
 func TestStateLineTellsOfOperators(t *testing.T) {
-	n := newDrainNode(t)
+	n := newDrainNode(t, onListen)
 	own := strings.Replace(n.address, ":5000", ":5001", 1)
 	n.config = strings.Replace(n.config, `{"name"`, fmt.Sprintf(`{"ops_listen":%q,"odd1":1,"odd2":"topsecret","odd3":{"at":1},"odd4":1,"odd5":1,"name"`, own), 1)
 	n.start(t)
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -113,6 +113,9 @@
 	if o.Came, o.Slack = c.spoke(); c.conn == nil {
 		return o
 	}
+	if watch := c.conn.of.pauses; watch != nil {
+		o.Came, o.Slack = watch.came(time.Now())
+	}
 	c.conn.of.mu.Lock()
 	defer c.conn.of.mu.Unlock()
 	if !c.conn.awaited {
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -42,8 +42,9 @@
 	most    int
 	life    *lifecycle.Node // nil: connections go on for good
 
-	mostExtra      int  // connections beyond most
-	completesCalls bool // operators' calls need no Host
+	mostExtra      int         // connections beyond most
+	completesCalls bool        // operators' calls need no Host
+	pauses         *pauseWatch // nil: the kernel tells when something came
 
 	mu        sync.Mutex
 	conns     map[*clientConn]bool           // all that are open
--- a/internal/node/operatorserver.go
+++ b/internal/node/operatorserver.go
@@ -65,6 +65,11 @@
 func (f *frontend) serveOperators(ln net.Listener, answers http.Handler) *http.Server {
 	limited := limitListener(ln, operatorConns, f.observer)
 	limited.completesCalls = true
+	ended := make(chan struct{})
+	if ln.Addr().Network() == "unix" {
+		limited.pauses = &pauseWatch{}
+		go limited.pauses.run(ended)
+	}
 	f.operatorListeners.add(limited)
 	f.reserve.add(&limited.spare)
 	srv := f.server(limited, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -75,6 +80,7 @@
 	srv.SetKeepAlivesEnabled(false)
 	go func() {
 		srv.Serve(limited) // ends with Close or Shutdown
+		close(ended)
 		f.operatorListeners.remove(limited)
 		f.reserve.remove(&limited.spare)
 	}()
