--- a/cmd/indigotack/descriptors_test.go
+++ b/cmd/indigotack/descriptors_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -35,22 +36,32 @@
 			fill(t, node.listen, say)
 			waitUntilFull(t, node.pid)
 			time.Sleep(500 * time.Millisecond) // all have come
-			node.order(t, node.operators, "status")
-			node.order(t, node.listen, "quiesce")
-			time.Sleep(2*time.Second + killSlack) // the drain's bound
-			node.order(t, node.listen, "status")
-			for range 20 { // with the clients' connections on the heels of each
-				node.order(t, node.operators, "status")
+			for _, at := range node.operators {
+				node.order(t, at, "status")
+			}
+			for i, at := range append(node.operators, onTCP(node.listen)) {
+				node.order(t, at, "quiesce")
+				time.Sleep(2*time.Second + killSlack) // the drain's bound
+				node.order(t, onTCP(node.listen), "status")
+				for range 20 { // with the clients' connections on the heels of each
+					node.order(t, node.operators[i%len(node.operators)], "status")
+				}
+				node.order(t, at, "resume")
 			}
-			node.order(t, node.listen, "resume")
 		})
 	}
 }
 
-// startedNode is the program as it runs, with an address of operators' own.
+// address is one of any network.
+type address struct{ network, at string }
+
+func onTCP(at string) address { return address{"tcp", at} }
+
+// startedNode is the program as it runs, with addresses of operators' own.
 type startedNode struct {
-	listen, operators string
-	pid               int
+	listen    string
+	operators []address
+	pid       int
 }
 
 // startHung runs the program before a server that takes connections and says nothing.
@@ -61,10 +72,14 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { hung.Close() })
-	listen, operators := freeAddress(t), freeAddress(t)
-	cmd := program(t, nodeConfig{listen: listen, discovery: freeAddress(t), keys: fmt.Sprintf(`"admin_listen":%q,`, operators),
+	listen, onHost, elsewhere, socket := freeAddress(t), freeAddress(t), ownAddress(), filepath.Join(socketFolder(t), "control.sock")
+	cmd := program(t, nodeConfig{listen: listen, discovery: freeAddress(t), keys: fmt.Sprintf(`"admin_listen":%q,"control":[%q,%q],`, onHost, elsewhere, socket),
 		settings: classSettings("page", "fragile", 2*time.Second), server: hung.Addr().String()}.String())
-	awaitLine(t, start(t, cmd), "operators are answered")
+	said := start(t, cmd)
+	operators := []address{onTCP(onHost), onTCP(elsewhere), {"unix", socket}}
+	for range operators {
+		awaitLine(t, said, "operators are answered")
+	}
 	awaitReady(t, listen)
 	return startedNode{listen, operators, cmd.Process.Pid}
 }
@@ -92,13 +107,13 @@
 }
 
 // order gives an operator's order on a connection of its own and fails unless it is answered in time.
-func (n startedNode) order(t *testing.T, address, call string) {
+func (n startedNode) order(t *testing.T, to address, call string) {
 	t.Helper()
 	machine := standin.WatchLateness()
 	defer machine.Stop()
 	waited := standin.WatchCPU(n.pid)
 	began := time.Now()
-	c, err := net.Dial("tcp", address)
+	c, err := net.Dial(to.network, to.at)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -108,12 +123,12 @@
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	took := time.Since(began)
 	if err != nil {
-		t.Errorf("%s: no answer after %v: %v", call, took, err)
+		t.Errorf("%s at %v: no answer after %v: %v", call, to, took, err)
 		return
 	}
 	said, err := io.ReadAll(resp.Body)
 	if allowed := heardWithin + machine.Worst() + waited(); err != nil || resp.StatusCode != http.StatusOK || took > allowed {
-		t.Errorf("%s: %d after %v, %v, want 200 within %v", call, resp.StatusCode, took, err, allowed)
+		t.Errorf("%s at %v: %d after %v, %v, want 200 within %v", call, to, resp.StatusCode, took, err, allowed)
 	}
 	t.Logf("%s: %s after %v", call, said, took)
 }
@@ -122,7 +137,7 @@
 func TestOrderDuringStand(t *testing.T) {
 	node := startHung(t)
 	for i := range 5 {
-		node.order(t, node.listen, "quiesce")
+		node.order(t, onTCP(node.listen), "quiesce")
 		c, err := net.Dial("tcp", node.listen)
 		if err != nil {
 			t.Fatal(err)
