Name the process at the other end of a Unix socket, and a prefix on listen

Who ordered a drain was "@" for a call on a Unix socket; it is the process and its user now, in the log's lines, the state and the status. A URL with a path that names the very address where clients connect had its path dropped without a word; calls with it in front are operators' there too, and of clients' paths nothing is taken away.

--- a/cmd/indigotack/addresses_test.go
+++ b/cmd/indigotack/addresses_test.go
@@ -76,6 +76,11 @@
 	if !lines.await(told, 5*time.Second) {
 		t.Errorf("no regular line tells that operators are heard at %s, or it has names that are not known", address)
 	}
+	if network == "unix" && !lines.await(func(line string) bool {
+		return strings.Contains(line, fmt.Sprintf("by=\"process %d of user", os.Getpid()))
+	}, time.Second) {
+		t.Error("no line tells which process has called")
+	}
 	if !lines.await(func(line string) bool { return strings.Contains(line, "told_by=") }, time.Second) {
 		t.Error("no line tells by which name the address was told")
 	}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"syscall"
@@ -124,6 +125,22 @@
 	return o
 }
 
+// name is the client as the log has it: its address, or the process at the other
+// end of a Unix socket.
+func (c client) name(address string) string {
+	if address != "" && address != "@" || c.raw() == nil {
+		return address
+	}
+	var peer *unix.Ucred
+	err := c.raw().Control(func(fd uintptr) {
+		peer, _ = unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED)
+	})
+	if err != nil || peer == nil {
+		return address
+	}
+	return fmt.Sprintf("process %d of user %d", peer.Pid, peer.Uid)
+}
+
 // left tells whether the client has ended its sending, or broken the
 // connection, also behind something that it sent and nobody has read. The
 // server's own reader hears of that too, but only when it runs, and of nothing
--- a/internal/node/counters_test.go
+++ b/internal/node/counters_test.go
@@ -35,3 +35,17 @@
 		}
 	}
 }
+
+// TestPrefixOnTheClientsListener guards against a prefix that is told with the clients' address and changes what clients ask.
+func TestPrefixOnTheClientsListener(t *testing.T) {
+	n := startNodeWith(t, func(c *Config) { c.Operators.OnListen, c.Operators.OnPrefix = []string{"control"}, "/api" })
+	for path, want := range map[string]int{"/api/admin/status": http.StatusOK, "/admin/status": http.StatusOK, "/api/x": http.StatusBadRequest} {
+		req, err := http.NewRequest(http.MethodGet, "http://"+n.address+path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := do(t, req); got.status != want {
+			t.Errorf("%s: answer %d, want %d", path, got.status, want)
+		}
+	}
+}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -15,6 +15,7 @@
 
 	"indigotack/decide"
 	"indigotack/internal/lifecycle"
+	"indigotack/internal/operators"
 )
 
 const (
@@ -47,6 +48,7 @@
 	reserve reserve
 
 	operatorListeners operatorListeners // beside the one where clients connect
+	operatorsPrefix   string            // is taken in front of their calls where clients connect, too
 
 	tellsCounters atomic.Bool // on the address where clients connect
 	drainChanged  func()      // called after a drain has begun or ended; must not wait
@@ -82,7 +84,7 @@
 	limited.completesCalls = f.orders == ordersByPath
 	limited.reserve = &f.reserve
 	f.limited.Store(limited)
-	srv := f.server(limited, f, f.times)
+	srv := f.server(limited, operators.WithoutPrefix(f.operatorsPrefix, f), f.times)
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(limited) }()
 	select {
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -82,23 +82,23 @@
 // nor for a body.
 func (f *frontend) answerOperator(w http.ResponseWriter, r *http.Request, at string) {
 	endAfterAnswer(w, r) // as a script may read to the end
-	path := appconfig.CleanPath(r.URL.Path)
+	path, by := appconfig.CleanPath(r.URL.Path), clientOf(r).name(r.RemoteAddr)
 	carryOut, methods := f.order(path)
 	if carryOut == nil {
-		f.note(slog.LevelWarn, "unknown operator's call", eventOperator, "unknown", "by", r.RemoteAddr, "at", at, "method", r.Method, "path", shortened(r.URL.Path))
+		f.note(slog.LevelWarn, "unknown operator's call", eventOperator, "unknown", "by", by, "at", at, "method", r.Method, "path", shortened(r.URL.Path))
 		http.Error(w, "want "+strings.Join(appconfig.Calls(), ", "), http.StatusNotFound)
 		return
 	}
 	call := strings.TrimPrefix(path, operatorsPath+"/")
 	if !slices.Contains(methods, r.Method) {
-		f.note(slog.LevelWarn, "operator's call with another method", eventOperator, call+"_method", "by", r.RemoteAddr, "at", at, "method", shortened(r.Method))
+		f.note(slog.LevelWarn, "operator's call with another method", eventOperator, call+"_method", "by", by, "at", at, "method", shortened(r.Method))
 		w.Header().Set("Allow", strings.Join(methods, ", "))
 		http.Error(w, "want "+strings.Join(methods, ", "), http.StatusMethodNotAllowed)
 		return
 	}
-	status := carryOut(clientOf(r).order(), r.RemoteAddr)
+	status := carryOut(clientOf(r).order(), by)
 	f.calls.add(call, at)
-	f.note(slog.LevelInfo, "operator's call", eventOperator, call, "by", r.RemoteAddr, "at", at, "method", r.Method, "status", status)
+	f.note(slog.LevelInfo, "operator's call", eventOperator, call, "by", by, "at", at, "method", r.Method, "status", status)
 	f.writeStatus(w, r, status)
 }
 
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -23,6 +23,7 @@
 	f.plan = func() lifecycle.ShutdownPlan { return lifecycle.PlanShutdown(longest, true) }
 	f.read = p.read
 	f.orders = ordersByPath
+	f.operatorsPrefix = n.cfg.Operators.OnPrefix
 	f.tellsCounters.Store(len(n.cfg.Operators.OnListen) > 0)
 	f.drainChanged = func() { n.followDrain(&f.life) }
 	return f
--- a/internal/operators/told.go
+++ b/internal/operators/told.go
@@ -38,6 +38,7 @@
 type Found struct {
 	Addresses []Address
 	OnListen  []string // the names by which the address where clients connect was told
+	OnPrefix  string   // the prefix that was told with it
 	Refused   []Refusal
 
 	names map[string]bool // all that were read
@@ -220,6 +221,7 @@
 	r.found.names[name] = true
 	if e.Network == networkTCP && sameListener(e.Address, r.listen) {
 		r.found.OnListen = append(r.found.OnListen, Shortened(name))
+		r.found.OnPrefix = cmp.Or(r.found.OnPrefix, e.Prefix)
 		return
 	}
 	for i := range r.found.Addresses {
