Fold the listeners, free addresses and waits of tests into one package

The same seven lines that listen on a free port stood in 25 tests, waiting loops and accept loops in several packages. testnet has them once; each listener closes with its test. No check is dropped or changed. The servers of TestDrainBehindSilentWatch log a request that another node's client has sent, and its node listens on a host of its own.

--- a/cmd/indigotack/addresses_test.go
+++ b/cmd/indigotack/addresses_test.go
@@ -8,12 +8,12 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"indigotack/internal/standin"
+	"indigotack/internal/testnet"
 )
 
 // TestOperatorsAreHeardAtTheAddressTheyAreTold guards against calls to an address of which the program was told, and at which it does not listen.
@@ -28,7 +28,7 @@
 	t.Helper()
 	n := newDrainNode(t, onListen)
 	addresses := standin.OperatorAddresses{Own: strings.Replace(n.address, ":5000", ":5001", 1), Other: ownAddress(),
-		Socket: filepath.Join(socketFolder(t), "control.sock")}
+		Socket: testnet.SocketPath(t)}
 	if _, _, calls := form.Place(addresses); calls {
 		addresses.Caller = callBack(t)
 	}
@@ -43,17 +43,6 @@
 	return n, addresses
 }
 
-// socketFolder is a folder whose path leaves room for that of a Unix socket.
-func socketFolder(t *testing.T) string {
-	t.Helper()
-	dir, err := os.MkdirTemp("", "operators")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { os.RemoveAll(dir) })
-	return dir
-}
-
 // heardAt checks that a node hears operators at an address of which it is told.
 func heardAt(t *testing.T, form standin.AddressForm) {
 	t.Parallel()
@@ -89,22 +78,11 @@
 // callBack is the address of somebody who sends the one order, to drain, to each that connects.
 func callBack(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			fmt.Fprint(c, quiesceCall)
-			http.ReadResponse(bufio.NewReader(c), nil) // what it tells is seen at the node
-			c.Close()
-		}
-	}()
+	ln := testnet.Listen(t)
+	go testnet.Serve(ln, func(_ int, c net.Conn) {
+		fmt.Fprint(c, quiesceCall)
+		http.ReadResponse(bufio.NewReader(c), nil) // what it tells is seen at the node
+	})
 	return ln.Addr().String()
 }
 
--- a/cmd/indigotack/admin_test.go
+++ b/cmd/indigotack/admin_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"indigotack/internal/node"
+	"indigotack/internal/testnet"
 )
 
 // platformNode is a node on a platform with a list of one server, and no discovery.
@@ -58,8 +59,8 @@
 // TestAdminAddressFromStartToEnd: operators are answered before the first list,
 // in a drain, and from SIGTERM until the node ends.
 func TestAdminAddressFromStartToEnd(t *testing.T) {
-	listen, operators := freeAddress(t), freeAddress(t)
-	cmd := program(t, nodeConfig{listen: listen, discovery: freeAddress(t), settings: classSettings("slow", "fragile", 2*time.Second)}.String())
+	listen, operators := testnet.FreeAddress(t), testnet.FreeAddress(t)
+	cmd := program(t, nodeConfig{listen: listen, discovery: testnet.FreeAddress(t), settings: classSettings("slow", "fragile", 2*time.Second)}.String())
 	cmd.Env = append([]string{"GW_ADMIN=" + operators}, cmd.Env...)
 	awaitLine(t, start(t, cmd), "operators are answered")
 	for _, c := range []struct{ path, state string }{
@@ -101,12 +102,8 @@
 
 // TestAdminAddressThatIsTaken: the node serves without it, and answers there once it is free.
 func TestAdminAddressThatIsTaken(t *testing.T) {
-	held, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer held.Close()
-	listen := freeAddress(t)
+	held := testnet.Listen(t)
+	listen := testnet.FreeAddress(t)
 	said := start(t, platformNode(t, listen, fmt.Sprintf(`"admin_listen":%q,`, held.Addr())))
 	awaitLine(t, said, "the address for operators can't be had")
 	awaitReady(t, listen)
@@ -120,7 +117,7 @@
 
 // TestAdminAddressThatIsNone: the node serves all the same and says what is wrong.
 func TestAdminAddressThatIsNone(t *testing.T) {
-	listen := freeAddress(t)
+	listen := testnet.FreeAddress(t)
 	said := start(t, platformNode(t, listen, `"admin":{"at":"nowhere"},`))
 	awaitLine(t, said, "no address for operators")
 	awaitReady(t, listen)
@@ -128,7 +125,7 @@
 
 // TestAdminAddressIsThatOfClients: one listener does both, and orders are taken there.
 func TestAdminAddressIsThatOfClients(t *testing.T) {
-	listen := freeAddress(t)
+	listen := testnet.FreeAddress(t)
 	cmd := platformNode(t, listen, fmt.Sprintf(`"admin":%q,`, listen))
 	cmd.Env = append([]string{"GW_ODDITY=x"}, cmd.Env...)
 	said := start(t, cmd)
@@ -150,7 +147,7 @@
 
 // TestSidecarTakesOrdersOnItsAdminAddress: and not where clients connect.
 func TestSidecarTakesOrdersOnItsAdminAddress(t *testing.T) {
-	listen, operators := freeAddress(t), freeAddress(t)
+	listen, operators := testnet.FreeAddress(t), testnet.FreeAddress(t)
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "{}") }))
 	defer backend.Close()
 	dir := t.TempDir()
--- a/cmd/indigotack/connect_test.go
+++ b/cmd/indigotack/connect_test.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"indigotack/internal/callfault"
+	"indigotack/internal/testnet"
 )
 
 // pageEvery is the time between the requests of these tests.
@@ -61,7 +62,7 @@
 	agent := httptest.NewServer(newScriptedAgent(map[string]string{"s": server.Listener.Addr().String()}))
 	t.Cleanup(agent.Close)
 	t.Cleanup(agent.CloseClientConnections)
-	listen := freeAddress(t)
+	listen := testnet.FreeAddress(t)
 	cmd := program(t, nodeConfig{listen: listen, discovery: agent.Listener.Addr().String(),
 		settings: pushedSettings(2*time.Second) + `"caps":{"connect_timeout_ns":120000000},` + classSettings("page", "retryable", 2*time.Second)}.String())
 	var connects atomic.Int64
--- a/cmd/indigotack/descriptors_test.go
+++ b/cmd/indigotack/descriptors_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -16,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"indigotack/internal/standin"
+	"indigotack/internal/testnet"
 )
 
 const (
@@ -67,13 +67,9 @@
 // startHung runs the program before a server that takes connections and says nothing.
 func startHung(t *testing.T) startedNode {
 	t.Helper()
-	hung, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { hung.Close() })
-	listen, onHost, elsewhere, socket := freeAddress(t), freeAddress(t), ownAddress(), filepath.Join(socketFolder(t), "control.sock")
-	cmd := program(t, nodeConfig{listen: listen, discovery: freeAddress(t), keys: fmt.Sprintf(`"admin_listen":%q,"control":[%q,%q],`, onHost, elsewhere, socket),
+	hung := testnet.Listen(t)
+	listen, onHost, elsewhere, socket := testnet.FreeAddress(t), testnet.FreeAddress(t), ownAddress(), testnet.SocketPath(t)
+	cmd := program(t, nodeConfig{listen: listen, discovery: testnet.FreeAddress(t), keys: fmt.Sprintf(`"admin_listen":%q,"control":[%q,%q],`, onHost, elsewhere, socket),
 		settings: classSettings("page", "fragile", 2*time.Second), server: hung.Addr().String()}.String())
 	said := start(t, cmd)
 	operators := []address{onTCP(onHost), onTCP(elsewhere), {"unix", socket}}
--- a/cmd/indigotack/drain_test.go
+++ b/cmd/indigotack/drain_test.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"indigotack/internal/testnet"
 )
 
 // TestDrainedNodeHoldsNoClient guards against clients that a drained node takes on, or holds past the longest deadline and 0.7 s.
@@ -485,7 +487,7 @@
 	mu.Lock()
 	before := len(answers)
 	mu.Unlock()
-	eventually(t, longestDeadline+machineSlack, "clients are served after the last resume", func() bool {
+	testnet.Eventually(t, longestDeadline+machineSlack, "clients are served after the last resume", func() bool {
 		mu.Lock()
 		defer mu.Unlock()
 		return len(answers) >= before+10*clients
@@ -588,7 +590,7 @@
 		}
 	}))))
 	n.start(t)
-	eventually(t, startTime, "the node listens", func() bool { return n.ask(get("/health/live"), time.Second).status == http.StatusOK })
+	testnet.Eventually(t, startTime, "the node listens", func() bool { return n.ask(get("/health/live"), time.Second).status == http.StatusOK })
 	n.order(t, quiesceCall)
 	n.order(t, resumeCall)
 	n.checkHealth(t, false, "without a list")
--- a/cmd/indigotack/drainnode_test.go
+++ b/cmd/indigotack/drainnode_test.go
@@ -11,7 +11,6 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,6 +19,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"indigotack/internal/testnet"
 )
 
 const (
@@ -90,7 +91,7 @@
 // awaitPages waits until the server has taken so many requests.
 func (s *pathServer) awaitPages(t *testing.T, number int) {
 	t.Helper()
-	eventually(t, startTime, "the server takes requests", func() bool {
+	testnet.Eventually(t, startTime, "the server takes requests", func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		return len(s.taken) >= number
@@ -154,7 +155,7 @@
 	case onAddress:
 		n.operatorsAt = ownAddress()
 	case onSocket:
-		n.network, n.operatorsAt = "unix", filepath.Join(socketFolder(t), "control.sock")
+		n.network, n.operatorsAt = "unix", testnet.SocketPath(t)
 	}
 	n.agent = newScriptedAgent(map[string]string{"s0": n.server.Listener.Addr().String()})
 	n.config = way.tell(n, configFor(n.address, serveAgent(t, n.agent)))
@@ -193,7 +194,7 @@
 	n := newDrainNode(t, way)
 	n.start(t)
 	awaitReady(t, n.address)
-	eventually(t, startTime, "operators are heard", func() bool { return n.askOperators(get("/admin/status"), time.Second).status == http.StatusOK })
+	testnet.Eventually(t, startTime, "operators are heard", func() bool { return n.askOperators(get("/admin/status"), time.Second).status == http.StatusOK })
 	return n
 }
 
@@ -225,7 +226,7 @@
 // awaitStanding waits until the process has stopped at SIGSTOP.
 func (n *drainNode) awaitStanding(t *testing.T) {
 	t.Helper()
-	eventually(t, machineSlack, "the process stands still", func() bool {
+	testnet.Eventually(t, machineSlack, "the process stands still", func() bool {
 		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", n.cmd.Process.Pid))
 		return err == nil && strings.Contains(string(stat), ") T ")
 	})
@@ -509,7 +510,7 @@
 // awaitTaken waits until the node has accepted a connection and read all that came on it.
 func awaitTaken(t *testing.T, c *net.TCPConn) {
 	t.Helper()
-	eventually(t, longestDeadline+machineSlack, "the node reads what came", func() bool {
+	testnet.Eventually(t, longestDeadline+machineSlack, "the node reads what came", func() bool {
 		unread, accepted := held(t, c)
 		return accepted && unread == 0
 	})
@@ -535,13 +536,3 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
-
-// eventually waits for what has to come within a time.
-func eventually(t *testing.T, most time.Duration, what string, is func() bool) {
-	t.Helper()
-	for until := time.Now().Add(most); !is(); time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(until) {
-			t.Fatalf("not within %v: %s", most, what)
-		}
-	}
-}
--- a/cmd/indigotack/kill_test.go
+++ b/cmd/indigotack/kill_test.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"indigotack/internal/testnet"
 )
 
 // killSlack is how long beyond the longest deadline a platform waits at least
@@ -57,7 +59,7 @@
 	}
 	agent := httptest.NewServer(newScriptedAgent(servers))
 	t.Cleanup(agent.CloseClientConnections)
-	listen := freeAddress(t)
+	listen := testnet.FreeAddress(t)
 	cmd := program(t, nodeConfig{listen: listen, discovery: agent.Listener.Addr().String(),
 		settings: pushedSettings(2*time.Second) + `"caps":{"max_attempts":4,"cancel":true},` + classSettings("page", "retryable", longest)}.String())
 	start(t, cmd)
--- a/cmd/indigotack/main_test.go
+++ b/cmd/indigotack/main_test.go
@@ -20,6 +20,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"indigotack/internal/callfault"
+	"indigotack/internal/testnet"
 )
 
 // TestMain runs the program itself where a test has started it anew.
@@ -64,17 +65,6 @@
 	return said
 }
 
-// freeAddress is an address where nothing listens yet.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
 func TestBadConfigIsOneLineAndNonZero(t *testing.T) {
 	out, err := program(t, `{"settings":{}}`).CombinedOutput()
 	if _, ok := err.(*exec.ExitError); !ok || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), "listen") {
@@ -87,11 +77,7 @@
 func TestServesUntilSIGTERM(t *testing.T) {
 	var free [3]string
 	for i := range free {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer ln.Close()
+		ln := testnet.Listen(t)
 		free[i] = ln.Addr().String()
 		if i == 0 {
 			ln.Close()
@@ -163,12 +149,8 @@
 // end, and its client would wait for far longer than the platform. It gets a
 // whole answer all the same, once, though SIGTERM comes twice and SIGHUP with it.
 func TestSIGTERMWithRequestsInHand(t *testing.T) {
-	hung, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer hung.Close()
-	listen := freeAddress(t)
+	hung := testnet.Listen(t)
+	listen := testnet.FreeAddress(t)
 	cmd := program(t, nodeConfig{listen: listen, discovery: hung.Addr().String(), settings: classSettings("slow", "fragile", 4*time.Second), server: hung.Addr().String()}.String())
 	start(t, cmd)
 	var client net.Conn
@@ -216,7 +198,7 @@
 func TestSidecarProgram(t *testing.T) {
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "page") }))
 	defer backend.Close()
-	address := freeAddress(t)
+	address := testnet.FreeAddress(t)
 	dir := t.TempDir()
 	write := func(name, text string) {
 		t.Helper()
@@ -337,7 +319,7 @@
 	for _, how := range []string{"goes away", "stops reading"} {
 		t.Run(how, func(t *testing.T) {
 			t.Parallel()
-			listen := freeAddress(t)
+			listen := testnet.FreeAddress(t)
 			cmd := program(t, nodeConfig{listen: listen, discovery: listen, server: listen}.String())
 			reader, writer, err := os.Pipe()
 			if err != nil {
@@ -387,7 +369,7 @@
 	for how, since := range map[string]time.Duration{"half written": 300 * time.Millisecond, "missing": 300 * time.Millisecond, "missing for long": 4 * time.Second} {
 		t.Run(how, func(t *testing.T) {
 			t.Parallel()
-			listen, moved := freeAddress(t), freeAddress(t)
+			listen, moved := testnet.FreeAddress(t), testnet.FreeAddress(t)
 			config := nodeConfig{listen: listen, discovery: listen, server: listen}.String()
 			cmd := program(t, config)
 			said := start(t, cmd)
@@ -427,10 +409,7 @@
 // TestStartWaitsForItsAddress: the process before still holds the address when
 // the next one starts.
 func TestStartWaitsForItsAddress(t *testing.T) {
-	before, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	before := testnet.Listen(t)
 	listen := before.Addr().String()
 	start(t, program(t, nodeConfig{listen: listen, discovery: listen, server: listen}.String()))
 	time.Sleep(500 * time.Millisecond)
--- a/cmd/indigotack/reload_test.go
+++ b/cmd/indigotack/reload_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"syscall"
 	"testing"
+
+	"indigotack/internal/testnet"
 )
 
 // TestReloadOfWhatIsNoFile: at SIGHUP the configuration's path is a pipe that
@@ -18,7 +20,7 @@
 	} {
 		t.Run(how, func(t *testing.T) {
 			t.Parallel()
-			listen := freeAddress(t)
+			listen := testnet.FreeAddress(t)
 			config := func(discovery string) string {
 				return nodeConfig{listen: listen, discovery: discovery, server: listen}.String()
 			}
@@ -39,7 +41,7 @@
 				t.Fatal(err)
 			}
 			for range 2 {
-				moved := freeAddress(t)
+				moved := testnet.FreeAddress(t)
 				if err := os.WriteFile(path, []byte(config(moved)), 0o600); err != nil {
 					t.Fatal(err)
 				}
--- a/cmd/indigotack/signals_test.go
+++ b/cmd/indigotack/signals_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"indigotack/internal/testnet"
 )
 
 // pageTime is how long the slow server takes.
@@ -29,7 +31,7 @@
 	t.Cleanup(server.Close)
 	agent := httptest.NewServer(newScriptedAgent(map[string]string{"s": server.Listener.Addr().String()}))
 	t.Cleanup(agent.CloseClientConnections)
-	listen = freeAddress(t)
+	listen = testnet.FreeAddress(t)
 	cmd = program(t, nodeConfig{listen: listen, discovery: agent.Listener.Addr().String(),
 		settings: pushedSettings(2*time.Second) + classSettings("page", "retryable", 2*time.Second)}.String())
 	said = start(t, cmd)
--- a/cmd/indigotack/watch_test.go
+++ b/cmd/indigotack/watch_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -134,8 +135,12 @@
 func sentAfterDrain(t *testing.T, silent int, swallow func(http.ResponseWriter)) time.Duration {
 	t.Helper()
 	var last atomic.Int64
+	listen := ownAddress()
 	answer := func(note func()) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
+			if id := r.Header.Get("X-Request-Id"); strings.HasPrefix(id, pagePrefix) && !strings.HasPrefix(id, pagePrefix+listen) {
+				t.Logf("a request of another node comes to the servers of this one: %s", id)
+			}
 			note()
 			io.WriteString(w, "page")
 		}
@@ -168,7 +173,6 @@
 	t.Cleanup(agentServer.Close)
 	t.Cleanup(agentServer.CloseClientConnections)
 
-	listen := freeAddress(t)
 	logOnFailure(t, start(t, program(t, nodeConfig{listen: listen, discovery: agentServer.Listener.Addr().String(),
 		settings: pushedSettings(drainGrace) + classSettings("page", "retryable", 2*time.Second)}.String())))
 	awaitReady(t, listen)
@@ -194,6 +198,9 @@
 	return time.Duration(last.Load()) - at.Sub(zero)
 }
 
+// pagePrefix begins the ids of requests that sendPages sends.
+const pagePrefix = "page-"
+
 // sendPages sends a request every few milliseconds until stop is closed.
 func sendPages(address string, stop <-chan struct{}) {
 	client := &http.Client{Timeout: 3 * time.Second}
@@ -207,7 +214,7 @@
 		if err != nil {
 			panic(err)
 		}
-		req.Header.Set("X-Request-Id", fmt.Sprint("page-", number))
+		req.Header.Set("X-Request-Id", fmt.Sprint(pagePrefix, address, "-", number))
 		req.Header.Set("X-Class", "page")
 		req.Header.Set("X-Deadline", "2")
 		if resp, err := client.Do(req); err == nil {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"indigotack/internal/conf"
+	"indigotack/internal/testnet"
 )
 
 func plan(t testing.TB, text string) *Plan {
@@ -159,11 +160,7 @@
 
 func startTarget(t testing.TB, script func(c net.Conn, r *http.Request) bool) *target {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
+	ln := testnet.Listen(t)
 	g := &target{address: ln.Addr().String()}
 	go func() {
 		for {
@@ -398,10 +395,7 @@
 
 // TestRefusedConnections: nothing listens any more.
 func TestRefusedConnections(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	ln := testnet.Listen(t)
 	go func() { // the generator's first look is let in
 		if c, err := ln.Accept(); err == nil {
 			c.Close()
--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/testnet"
 )
 
 // enough bounds what a test waits for; a passing one takes far less.
@@ -28,11 +29,7 @@
 // backendServer runs a server on a loopback port: script gets each connection and its number.
 func backendServer(t *testing.T, script func(number int, c net.Conn, r *bufio.Reader)) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
+	ln := testnet.Listen(t)
 	go func() {
 		for i := 0; ; i++ {
 			c, err := ln.Accept()
@@ -71,10 +68,7 @@
 // refusing is an address where nothing listens.
 func refusing(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	ln := testnet.Listen(t)
 	ln.Close()
 	return ln.Addr().String()
 }
--- a/internal/node/clientconn_test.go
+++ b/internal/node/clientconn_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"syscall"
 	"testing"
+
+	"indigotack/internal/testnet"
 )
 
 // shortOfBuffers is a connection whose writes fail a few times, the first one
@@ -40,7 +42,7 @@
 // TestAnswerIsWrittenWhole: the machine has no buffers for a moment while an
 // answer is written. It comes whole all the same.
 func TestAnswerIsWrittenWhole(t *testing.T) {
-	_, conn := serveLimited(t, shortListener{onLoopback(t)}, "the page")
+	_, conn := serveLimited(t, shortListener{testnet.Listen(t)}, "the page")
 	conn.Write([]byte("GET / HTTP/1.1\r\nHost: app.svc\r\n\r\n"))
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
--- a/internal/node/datagrams_test.go
+++ b/internal/node/datagrams_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"indigotack/internal/standin"
+	"indigotack/internal/testnet"
 )
 
 // TestDatagramsLeaveALine guards against what comes to peer_listen and leaves no trace.
@@ -43,7 +44,7 @@
 
 // TestConnectionsToPeerListenLeaveALine guards against a call that comes to peer_listen by TCP, has no answer and leaves no trace.
 func TestConnectionsToPeerListenLeaveALine(t *testing.T) {
-	log, address := &standin.LogBuffer{}, onLoopback(t)
+	log, address := &standin.LogBuffer{}, testnet.Listen(t)
 	address.Close()
 	o := newObserver(slog.New(slog.NewTextHandler(log, nil)))
 	go o.noteStreams(t.Context(), address.Addr().String())
--- a/internal/node/extra_test.go
+++ b/internal/node/extra_test.go
@@ -18,6 +18,7 @@
 	"indigotack/internal/faultnet"
 	"indigotack/internal/lifecycle"
 	"indigotack/internal/standin"
+	"indigotack/internal/testnet"
 )
 
 const (
@@ -226,7 +227,7 @@
 func TestSpareDescriptorIsTakenBack(t *testing.T) {
 	var accepts faultnet.Script
 	accepts.Fail(syscall.EMFILE, nil, syscall.ENFILE, nil)
-	l, _ := serveLimited(t, &faultnet.Listener{Listener: onLoopback(t), Source: &accepts}, "ok")
+	l, _ := serveLimited(t, &faultnet.Listener{Listener: testnet.Listen(t), Source: &accepts}, "ok")
 	waitUntil(t, "two descriptors that are given away", func() bool {
 		if c, err := net.Dial("tcp", l.Addr().String()); err == nil {
 			c.Close()
--- a/internal/node/listener_test.go
+++ b/internal/node/listener_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"indigotack/internal/testnet"
 )
 
 // TestSilentClientsGiveWay: clients that connect by hundreds and say nothing
@@ -104,21 +106,11 @@
 	return l, conn
 }
 
-// onLoopback is a listener at a port of its own.
-func onLoopback(t *testing.T) net.Listener {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	return ln
-}
-
 // TestUnreadIsNoReasonToClose: a connection that has rested for long gives way
 // to a new one, but not when a request has come on it in that instant, which
 // the node has not read.
 func TestUnreadIsNoReasonToClose(t *testing.T) {
-	l, conn := serveLimited(t, onLoopback(t), "ok")
+	l, conn := serveLimited(t, testnet.Listen(t), "ok")
 	read := bufio.NewReader(conn)
 	const text = "GET / HTTP/1.1\r\nHost: app.svc\r\n\r\n"
 	ask := func() {
@@ -158,7 +150,7 @@
 // answer. It is no byte of the next request all the same.
 func TestLongHeadIsNoNextRequest(t *testing.T) {
 	const buffer = 4096 // of net/http
-	l, conn := serveLimited(t, onLoopback(t), "ok")
+	l, conn := serveLimited(t, testnet.Listen(t), "ok")
 	head := "GET /" + strings.Repeat("x", buffer) + " HTTP/1.1\r\nHost: app.svc\r\n\r\n"
 	io.WriteString(conn, head[:buffer-1])
 	waitUntil(t, "the first part to be read", func() bool {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -21,6 +21,7 @@
 
 	"indigotack/decide"
 	"indigotack/internal/lifecycle"
+	"indigotack/internal/testnet"
 )
 
 func testConfig(discovery string) Config {
@@ -91,10 +92,7 @@
 		case <-hung:
 		}
 	}))
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	ln := testnet.Listen(t)
 	ctx, stop := context.WithCancel(context.Background())
 	cfg := testConfig(disc.Listener.Addr().String())
 	change(&cfg)
@@ -266,14 +264,10 @@
 	return v
 }
 
-// waitUntil looks again and again until something holds.
+// waitUntil waits for what a test needs to go on.
 func waitUntil(t *testing.T, what string, holds func() bool) {
 	t.Helper()
-	for until := time.Now().Add(enough); !holds(); time.Sleep(time.Millisecond) {
-		if time.Now().After(until) {
-			t.Fatal("waited in vain for " + what)
-		}
-	}
+	testnet.Eventually(t, enough, what, holds)
 }
 
 func TestAnsweredByItsDeadline(t *testing.T) {
@@ -474,10 +468,7 @@
 
 // TestIdleClientsGiveWay: clients that hold connections and send nothing must not shut out others.
 func TestIdleClientsGiveWay(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	ln := testnet.Listen(t)
 	l := limitListener(ln, 2, newObserver(quiet))
 	idle := make(chan struct{}, 10)
 	srv := &http.Server{Handler: http.NotFoundHandler(), ConnState: func(c net.Conn, s http.ConnState) {
--- a/internal/node/operatorserver_test.go
+++ b/internal/node/operatorserver_test.go
@@ -9,12 +9,13 @@
 
 	"indigotack/internal/appconfig"
 	"indigotack/internal/standin"
+	"indigotack/internal/testnet"
 )
 
 // TestSilentConnectionsHoldUpNoOperator guards against a call at operators' own address that waits behind connections on which nothing comes.
 func TestSilentConnectionsHoldUpNoOperator(t *testing.T) {
 	n := startNode(t)
-	ln := onLoopback(t)
+	ln := testnet.Listen(t)
 	srv := n.front.serveOperators(ln, n.Operators("test"))
 	defer srv.Close()
 	own := ln.Addr().String()
--- a/internal/node/sidecar_test.go
+++ b/internal/node/sidecar_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -22,6 +21,7 @@
 	"indigotack/internal/appconfig"
 	"indigotack/internal/lifecycle"
 	"indigotack/internal/standin"
+	"indigotack/internal/testnet"
 )
 
 // beside is a sidecar under test, with the files that it runs from.
@@ -55,10 +55,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	ln := testnet.Listen(t)
 	b.base = "http://" + ln.Addr().String()
 	if b.Sidecar, err = NewSidecar(a, 1, slog.New(slog.NewTextHandler(b.log, nil))); err != nil {
 		t.Fatal(err)
--- a/internal/node/socketfaults_test.go
+++ b/internal/node/socketfaults_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"slices"
 	"syscall"
@@ -11,6 +10,7 @@
 	"time"
 
 	"indigotack/internal/faultnet"
+	"indigotack/internal/testnet"
 )
 
 // acceptErrors are what accept(2) documents for a listener that is in order.
@@ -24,10 +24,7 @@
 	for _, failure := range acceptErrors {
 		t.Run(failure.Error(), func(t *testing.T) {
 			t.Parallel()
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
+			ln := testnet.Listen(t)
 			var accepts faultnet.Script
 			failing := &faultnet.Listener{Listener: ln, Source: &accepts}
 			accepts.Fail(slices.Repeat([]error{failure}, 5)...)
--- a/internal/operators/listeners_test.go
+++ b/internal/operators/listeners_test.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"indigotack/internal/testnet"
 )
 
 const soon = 5 * time.Second // for what should be so at once
@@ -62,50 +64,19 @@
 	return string(body)
 }
 
-func eventually(t *testing.T, what string, is func() bool) {
-	t.Helper()
-	for until := time.Now().Add(soon); !is(); time.Sleep(time.Millisecond) {
-		if time.Now().After(until) {
-			t.Fatalf("not within %v: %s", soon, what)
-		}
-	}
-}
-
 func awaitHeard(t *testing.T, network, address string) {
 	t.Helper()
-	eventually(t, "heard at "+address, func() bool { return ask(network, address, "/x") == "/x" })
+	testnet.Eventually(t, soon, "heard at "+address, func() bool { return ask(network, address, "/x") == "/x" })
 }
 
 func awaitNotAt(t *testing.T, l *Listeners, why string) {
 	t.Helper()
-	eventually(t, why, func() bool { return strings.Contains(strings.Join(l.NotAt(), " "), why) })
-}
-
-// held is a listener of somebody else's.
-func held(t *testing.T, network, address string) net.Listener {
-	t.Helper()
-	ln, err := net.Listen(network, address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	return ln
-}
-
-// ownSocketPath is one in a folder of the test's own, whose path is short enough.
-func ownSocketPath(t *testing.T) string {
-	t.Helper()
-	dir, err := os.MkdirTemp("", "operators")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { os.RemoveAll(dir) })
-	return filepath.Join(dir, "s")
+	testnet.Eventually(t, soon, why, func() bool { return strings.Contains(strings.Join(l.NotAt(), " "), why) })
 }
 
 // TestSocketThatNobodyHearsAnyMoreIsReplaced guards against a node that a process killed before it keeps from its operators.
 func TestSocketThatNobodyHearsAnyMoreIsReplaced(t *testing.T) {
-	path := ownSocketPath(t)
+	path := testnet.SocketPath(t)
 	before, err := bindUnix(path)
 	if err != nil {
 		t.Fatal(err)
@@ -125,8 +96,8 @@
 // TestWhatIsNotTheNodesOwnIsLeftAlone guards against a node that takes a socket from a process that listens, or removes a file.
 func TestWhatIsNotTheNodesOwnIsLeftAlone(t *testing.T) {
 	t.Run("a socket that answers", func(t *testing.T) {
-		path := ownSocketPath(t)
-		other := held(t, "unix", path)
+		path := testnet.SocketPath(t)
+		other := testnet.ListenAt(t, "unix", path)
 		l := started(t, told(path), echo)
 		awaitNotAt(t, l, inUse)
 		other.Close()
@@ -137,7 +108,7 @@
 		isFolder: func(path string) error { return os.Mkdir(path, 0o700) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			path := ownSocketPath(t)
+			path := testnet.SocketPath(t)
 			if err := create(path); err != nil {
 				t.Fatal(err)
 			}
@@ -150,7 +121,7 @@
 		})
 	}
 	t.Run("the socket of the process that came after", func(t *testing.T) {
-		path := ownSocketPath(t)
+		path := testnet.SocketPath(t)
 		l := started(t, told(path), echo)
 		awaitHeard(t, "unix", path)
 		if err := os.Remove(path); err != nil {
@@ -171,7 +142,7 @@
 // TestAddressThatCanBeHadLaterIsHeardThen guards against a node that gives an address up which it can't have at first.
 func TestAddressThatCanBeHadLaterIsHeardThen(t *testing.T) {
 	t.Run("a folder that comes late", func(t *testing.T) {
-		path := filepath.Join(ownSocketPath(t), "later", "s")
+		path := filepath.Join(testnet.SocketPath(t), "later", "s")
 		l := started(t, told(path), echo)
 		awaitNotAt(t, l, noFolder)
 		if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
@@ -180,7 +151,7 @@
 		awaitHeard(t, "unix", path)
 	})
 	t.Run("a socket's file that is removed", func(t *testing.T) {
-		path := ownSocketPath(t)
+		path := testnet.SocketPath(t)
 		started(t, told(path), echo)
 		awaitHeard(t, "unix", path)
 		if err := os.Remove(path); err != nil {
@@ -189,7 +160,7 @@
 		awaitHeard(t, "unix", path)
 	})
 	t.Run("a port in use", func(t *testing.T) {
-		other := held(t, "tcp", "127.0.0.1:0")
+		other := testnet.Listen(t)
 		l := started(t, told(other.Addr().String()), echo)
 		awaitNotAt(t, l, inUse)
 		other.Close()
@@ -218,7 +189,7 @@
 
 // TestUpdateInterruptsNoCall guards against a reload that ends an operator's call, or a listener that stays.
 func TestUpdateInterruptsNoCall(t *testing.T) {
-	stays, goes, comes := ownSocketPath(t), ownSocketPath(t), ownSocketPath(t)
+	stays, goes, comes := testnet.SocketPath(t), testnet.SocketPath(t), testnet.SocketPath(t)
 	began, end := make(chan bool, 2), make(chan bool)
 	l := started(t, told(stays), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/slow" {
@@ -238,7 +209,7 @@
 	l.Update(both(stays, comes))
 	awaitHeard(t, "unix", comes)
 	awaitHeard(t, "unix", stays)
-	eventually(t, "the file of the address that goes is gone", func() bool {
+	testnet.Eventually(t, soon, "the file of the address that goes is gone", func() bool {
 		_, err := os.Lstat(goes)
 		return errors.Is(err, fs.ErrNotExist)
 	})
@@ -266,19 +237,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			other := held(t, "tcp", "127.0.0.1:0")
+			other := testnet.Listen(t)
 			came := make(chan bool, 100)
-			go func() {
-				for {
-					conn, err := other.Accept()
-					if err != nil {
-						return
-					}
-					came <- true
-					c.answer(conn)
-					conn.Close()
-				}
-			}()
+			go testnet.Serve(other, func(_ int, conn net.Conn) {
+				came <- true
+				c.answer(conn)
+			})
 			l := started(t, told(other.Addr().String()), echo)
 			awaitNotAt(t, l, c.want)
 			time.Sleep(time.Second)
@@ -294,7 +258,7 @@
 	for name, wait := range map[string]time.Duration{"at once": 0, "behind the node's question": quietTime + 500*time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			other := held(t, "unix", ownSocketPath(t))
+			other := testnet.ListenAt(t, "unix", testnet.SocketPath(t))
 			started(t, told(other.Addr().String()), echo)
 			for range 2 {
 				conn, err := other.Accept()
--- a/internal/peers/alone_test.go
+++ b/internal/peers/alone_test.go
@@ -1,21 +1,17 @@
 package peers
 
 import (
-	"net"
 	"testing"
 	"time"
 
+	"indigotack/internal/testnet"
 	"indigotack/internal/view"
 )
 
 // TestSilentAddressToJoinAtSettlesNobodyAlone guards against a node that holds itself for the whole fleet because a partition keeps it from the addresses to join at.
 func TestSilentAddressToJoinAtSettlesNobodyAlone(t *testing.T) {
 	t.Parallel()
-	silent, err := net.Listen("tcp", "127.0.0.1:0") // takes connections, and never a word on them
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer silent.Close()
+	silent := testnet.Listen(t) // takes connections, and never a word on them
 	a, _ := member(t, "a", nil, silent.Addr().String())
 	for end := time.Now().Add(aloneTime + 2*time.Second); time.Now().Before(end); time.Sleep(tickTime) {
 		if s := a.Snapshot(); s.Settled {
--- a/internal/rig/relay_test.go
+++ b/internal/rig/relay_test.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"indigotack/internal/testnet"
 )
 
 // wait is the most that a test waits for what has to come.
@@ -25,23 +27,8 @@
 // echo is a server that sends back what it gets, and ends when its client does.
 func echo(t *testing.T) net.Listener {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				io.Copy(c, c)
-				c.Close()
-			}()
-		}
-	}()
+	ln := testnet.Listen(t)
+	go testnet.Serve(ln, func(_ int, c net.Conn) { io.Copy(c, c) })
 	return ln
 }
 
@@ -158,11 +145,7 @@
 
 // TestHalfOpenLink: that one end has closed is not told while it lasts.
 func TestHalfOpenLink(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
+	ln := testnet.Listen(t)
 	l, at := before(t, ln.Addr().String())
 	c := dial(t, at)
 	far, err := ln.Accept()
@@ -185,11 +168,7 @@
 		c    Condition
 		want int
 	}{{Condition{Reset: 1}, 0}, {Condition{Cut: 1}, 500}} {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer ln.Close()
+		ln := testnet.Listen(t)
 		l, at := before(t, ln.Addr().String())
 		l.put(1, [directions]Condition{there: one.c})
 		c := dial(t, at)
@@ -304,11 +283,7 @@
 // TestStoppedProcess is the case of a process that stands still: its kernel
 // accepts connections and takes bytes, and nobody answers.
 func TestStoppedProcess(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0") // never accepts
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
+	ln := testnet.Listen(t) // never accepts
 	_, at := before(t, ln.Addr().String())
 	c := dial(t, at)
 	if _, err := io.WriteString(c, "hello"); err != nil {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/testnet"
 )
 
 const enough = 30 * time.Second
@@ -271,10 +272,7 @@
 		"failed":  {func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(502) }, func(r Result) int { return r.Failed }},
 		"lost":    {func(w http.ResponseWriter, r *http.Request) { panic(http.ErrAbortHandler) }, func(r Result) int { return r.Wrong }},
 	} {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
+		ln := testnet.Listen(t)
 		srv := &http.Server{Handler: c.h}
 		go srv.Serve(ln)
 		clients := &Clients{Address: ln.Addr().String(), Rate: 500, Seed: 1, Ledger: NewLedger(),
