Name the keys of a new configuration that are not taken up

Change: the warning has the keys (passed_over), a known list among them if it is newer than the node's; unknown keys of known are told as discovery's are.

Test: TestReloadNamesWhatItPassesOver.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 
 	"indigotack/decide"
@@ -56,6 +57,30 @@
 	return c, nil
 }
 
+// passedOver are the keys of a new configuration that say something else than the
+// one in force and that a node does not take up while it runs. A list of servers
+// counts if it is newer than the node's.
+func (c Config) passedOver(next Config, listVersion uint64) (keys []string) {
+	for _, key := range []struct {
+		name    string
+		differs bool
+	}{
+		{"name", next.Name != c.Name},
+		{"listen", next.Listen != c.Listen},
+		{"peer_listen", next.Peer != c.Peer},
+		{"seed", next.Seed != c.Seed},
+		{"limits.memory_mb", next.MemoryMB != c.MemoryMB},
+		{"limits.sockets", next.Sockets != c.Sockets},
+		{"settings", !reflect.DeepEqual(next.Settings, c.Settings)},
+		{"known", next.known.Index > listVersion},
+	} {
+		if key.differs {
+			keys = append(keys, key.name)
+		}
+	}
+	return keys
+}
+
 // CheckFile gives an error unless a path is that of an ordinary file. A program
 // that serves must not wait for what others may write to a pipe.
 func CheckFile(path string) error {
--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -58,3 +58,17 @@
 		}
 	}
 }
+
+// TestReloadNamesWhatItPassesOver guards against keys of a new configuration that are dropped without a word.
+func TestReloadNamesWhatItPassesOver(t *testing.T) {
+	old := loaded(t, goodConfig)
+	if keys := old.passedOver(old, old.known.Index); len(keys) > 0 {
+		t.Errorf("of the same configuration %v are passed over", keys)
+	}
+	next := old
+	next.Name, next.Listen, next.Peer, next.Seed, next.MemoryMB, next.Sockets, next.Settings.Nodes = "x", "x", "x", 0, 0, 0, 0
+	next.known.Index = 1000
+	if keys := old.passedOver(next, 999); len(keys) != 8 {
+		t.Errorf("passed over are %v, want all eight", keys)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"reflect"
 	"time"
 
 	"indigotack/decide"
@@ -111,9 +110,8 @@
 	}
 	n.post(func() {
 		n.cfg.unknownKeys, n.cfg.unknownVariables = cfg.unknownKeys, cfg.unknownVariables
-		if cfg.Listen != n.cfg.Listen || cfg.Seed != n.cfg.Seed || cfg.MemoryMB != n.cfg.MemoryMB || cfg.Sockets != n.cfg.Sockets ||
-			!reflect.DeepEqual(cfg.Settings, n.cfg.Settings) {
-			n.log.Warn("of the new configuration only discovery and operators' addresses are taken up; the rest needs a restart")
+		if keys := n.cfg.passedOver(cfg, n.listVersion); len(keys) > 0 {
+			n.log.Warn("of the new configuration only discovery and operators' addresses are taken up; the rest needs a restart", "passed_over", keys)
 		}
 		if cfg.Discovery == n.cfg.Discovery {
 			return
@@ -151,6 +149,7 @@
 		}
 	}
 	n.cfg.known.note(n.log)
+	first.noteUnknown(&n.cfg.known)
 	n.post(func() { n.follow(n.cfg.known.Entries, n.cfg.known.Index, decide.ListCached) })
 	if !n.cfg.Settings.AskForList {
 		n.watchStalls()
