Listen at operators' addresses before the node serves clients

Change: a node's start waits for the first try of each of operators' addresses, 50 ms in all at most; what can't be had then is tried on as before.

Test: TestStartHearsBeforeTheNodeIsReady, which fails without the change.

--- a/internal/operators/listeners.go
+++ b/internal/operators/listeners.go
@@ -13,6 +13,7 @@
 )
 
 const (
+	firstTry    = 50 * time.Millisecond // that a node's start waits for its addresses
 	firstRetry  = 10 * time.Millisecond // after an address that could not be had
 	mostRetry   = time.Second
 	lookEvery   = time.Second     // at whether a socket's file is still there
@@ -42,11 +43,19 @@
 	running sync.WaitGroup
 }
 
-// Start hears operators at the addresses found, each as soon as it can be had.
-// It waits for none of them.
+// Start hears operators at the addresses found, each as soon as it can be had. It
+// waits only for the first try of each, and not for long.
 func Start(found Found, node string, serve Server, log *slog.Logger) *Listeners {
 	l := &Listeners{serve: serve, node: node, log: log}
 	l.Update(found)
+	overdue := time.After(firstTry)
+	for _, e := range l.entries {
+		select {
+		case <-e.tried:
+		case <-overdue:
+			return l
+		}
+	}
 	return l
 }
 
@@ -79,7 +88,7 @@
 // begin hears operators at one more address. The caller holds mu.
 func (l *Listeners) begin(a Address) *entry {
 	ctx, end := context.WithCancelCause(context.Background())
-	e := &entry{endpoint: a.Endpoint, names: a.Names, end: end, of: l, why: "not tried yet"}
+	e := &entry{endpoint: a.Endpoint, names: a.Names, end: end, of: l, why: "not tried yet", tried: make(chan struct{})}
 	l.running.Go(func() { e.run(ctx) })
 	return e
 }
@@ -131,7 +140,8 @@
 	endpoint Endpoint
 	of       *Listeners
 	end      context.CancelCauseFunc
-	visitor  visitor // of an address that somebody else has
+	visitor  visitor       // of an address that somebody else has
+	tried    chan struct{} // closed when the address was tried first
 
 	mu    sync.Mutex
 	names []string
@@ -182,10 +192,13 @@
 	var background sync.WaitGroup // visits, and servers that close
 	defer background.Wait()
 	defer e.visitor.stop()
+	noteTried := sync.OnceFunc(func() { close(e.tried) })
+	defer noteTried()
 	for wait := firstRetry; ctx.Err() == nil; wait = min(2*wait, mostRetry) {
 		ln, err := e.endpoint.listen(ctx, e.visitor.refused())
 		if err != nil {
 			e.refused(err)
+			noteTried()
 			if taken(err) {
 				e.visitor.start(ctx, &background, e)
 			}
@@ -193,7 +206,9 @@
 			continue
 		}
 		e.visitor.stop()
-		e.hear(ctx, ln, &background)
+		srv := e.serve(ln)
+		noteTried()
+		e.hear(ctx, ln, srv, &background)
 		wait = firstRetry
 	}
 }
@@ -219,12 +234,17 @@
 	}
 }
 
-// hear serves operators at the address until it is given up, or its file is gone.
-func (e *entry) hear(ctx context.Context, ln *listener, background *sync.WaitGroup) {
+// serve begins to serve operators at the address.
+func (e *entry) serve(ln *listener) *http.Server {
 	name := e.name()
 	srv := e.of.serve(ln, name, e.endpoint.Prefix)
 	e.noteHeard(true, "")
 	e.of.log.Info("operators are answered", "address", ln.Addr(), "told_by", name)
+	return srv
+}
+
+// hear has operators served until the address is given up, or its file is gone.
+func (e *entry) hear(ctx context.Context, ln *listener, srv *http.Server, background *sync.WaitGroup) {
 	for pause(ctx, lookEvery) && ln.isThere() {
 	}
 	e.noteHeard(false, "its socket's file is gone")
--- a/internal/operators/listeners_test.go
+++ b/internal/operators/listeners_test.go
@@ -187,6 +187,18 @@
 	awaitNotAt(t, l, resolvedBy)
 }
 
+// TestStartHearsBeforeTheNodeIsReady guards against an order that finds nobody at a node that says it is ready.
+func TestStartHearsBeforeTheNodeIsReady(t *testing.T) {
+	for range 100 {
+		path := testnet.SocketPath(t)
+		l := started(t, told(path), echo)
+		if got := ask("unix", path, "/x"); got != "/x" {
+			t.Fatalf("as the listeners have started: %s", got)
+		}
+		l.Close()
+	}
+}
+
 // TestUpdateInterruptsNoCall guards against a reload that ends an operator's call, or a listener that stays.
 func TestUpdateInterruptsNoCall(t *testing.T) {
 	stays, goes, comes := testnet.SocketPath(t), testnet.SocketPath(t), testnet.SocketPath(t)
