--- a/internal/rig/platform.go
+++ b/internal/rig/platform.go
@@ -66,10 +66,16 @@
 	return os.WriteFile(filepath.Join(n.dir, platformConfig), text, 0o600)
 }
 
+// formStride leads from one node's form to the next one's, so that the nodes of a
+// plan are told in forms of all kinds.
+const formStride = 13
+
 // operatorsForm is how a platform's node is told of operators' address, by the
 // plan's seed and the node's number.
 func (n *node) operatorsForm() standin.AddressForm {
-	return standin.AddressForms[(int(n.of.plan.Seed%uint64(len(standin.AddressForms)))+n.i)%len(standin.AddressForms)]
+	forms := uint64(len(standin.AddressForms))
+	number := n.of.plan.Seed%forms*soakNodes + uint64(n.i)
+	return standin.AddressForms[number*formStride%forms]
 }
 
 // operatorsAt are operators' own addresses at the node.
--- a/internal/rig/soak_test.go
+++ b/internal/rig/soak_test.go
@@ -3,11 +3,13 @@
 import (
 	"path/filepath"
 	"testing"
+
+	"indigotack/internal/standin"
 )
 
 // soakSeeds are few, as each takes a quarter of a minute; rehearse --soak plays
 // as many as are wanted.
-var soakSeeds = []uint64{1, 2, 3, 4}
+var soakSeeds = []uint64{1, 2, 3, 4, 5, 6}
 
 // TestSoak: overlapping faults of all kinds break no rule.
 func TestSoak(t *testing.T) {
@@ -74,3 +76,20 @@
 	}
 	wantSound(t, play(t, p, Options{Program: program(t, "faulty")}))
 }
+
+// TestSoaksTellOperatorsAddressInEachForm guards against forms in which no node of any soak is told.
+func TestSoaksTellOperatorsAddressInEachForm(t *testing.T) {
+	told := map[string]bool{}
+	for seed := range uint64(60) {
+		p := Soak(seed)
+		for i := range p.Nodes {
+			n := &node{i: i, unit: unit{of: &fleet{plan: p}}}
+			told[n.operatorsForm().Name] = true
+		}
+	}
+	for _, form := range standin.AddressForms {
+		if !told[form.Name] {
+			t.Errorf("no node is told by %s", form.Name)
+		}
+	}
+}
