Judge a crossing in tests by what the machine kept from both processes

TestResumedNodeServes/in_series_under_load_on_a_socket failed once in two runs of the package at once beside 30 busy processes (load 46): 'the connection was closed 25 ms after it was sent', with a reset, so the request was never read.

Traced with the lateness of both sides: played again beside 40 busy processes (3 at once, 9 plays) it failed once more, a reset after 70.7 ms while the test's own process woke up to 48.9 ms late; the rest is the node's wait for a processor between its look at the connection and its close. 20 ms were allowed whatever the machine did.

Change: the bound stays 20 ms, beside what the machine is measured to take from the test's process and from the node, as the tests of orders without descriptors have it. A request that was read and has no answer is reported as before, at any time.

--- a/cmd/indigotack/drain_test.go
+++ b/cmd/indigotack/drain_test.go
@@ -52,6 +52,7 @@
 
 func clientsOfBeforeTheCall(t *testing.T, way orderWay) {
 	n := startDrainNode(t, way)
+	watchProgram(t, n.address, n.cmd.Process.Pid)
 	conns := map[string]*net.TCPConn{}
 	open := func(name string, conn *net.TCPConn, text string) *net.TCPConn {
 		conns[name] = conn
@@ -453,6 +454,7 @@
 func resumedInSeries(t *testing.T, way orderWay) {
 	const series, clients = 20, 8
 	n := startDrainNode(t, way)
+	watchProgram(t, n.address, n.cmd.Process.Pid)
 	var mu sync.Mutex
 	var answers []answered
 	var lost []string
@@ -607,6 +609,7 @@
 
 func notResumedOnceToldToEnd(t *testing.T, way orderWay) {
 	n := startDrainNode(t, way)
+	watchProgram(t, n.address, n.cmd.Process.Pid)
 	inHand := n.dial(t)
 	io.WriteString(inHand, requestText("debit", "gate", "gate", time.Minute))
 	n.server.awaitHeld(t, "gate")
--- a/cmd/indigotack/kill_test.go
+++ b/cmd/indigotack/kill_test.go
@@ -64,6 +64,7 @@
 		settings: pushedSettings(2*time.Second) + `"caps":{"max_attempts":4,"cancel":true},` + classSettings("page", "retryable", longest)}.String())
 	start(t, cmd)
 	awaitReady(t, listen)
+	watchProgram(t, listen, cmd.Process.Pid)
 
 	var mu sync.Mutex
 	report := func(text string) {
@@ -123,6 +124,7 @@
 // connection's close, and whether the connection stays open. lost tells of a
 // request that goes without a whole answer in time; "" if it does not.
 func sendPage(conn net.Conn, answers *bufio.Reader, id string, first bool, deadline time.Duration) (status int, open bool, lost string) {
+	ownLateness.watch()
 	sent := time.Now()
 	_, err := fmt.Fprintf(conn, "GET /api/x HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: %s\r\nX-Class: page\r\nX-Deadline: %.3f\r\n\r\n", id, deadline.Seconds())
 	if err != nil {
@@ -133,8 +135,8 @@
 	if err != nil {
 		if first {
 			return 0, false, fmt.Sprintf("%s: no answer on a new connection, %v after it was sent: %v", id, time.Since(sent), err)
-		} else if took := time.Since(sent); took > 20*time.Millisecond {
-			return 0, false, fmt.Sprintf("%s: the connection was closed %v after it was sent: %v", id, took, err)
+		} else if took, late := time.Since(sent), machineLate(conn.RemoteAddr().String(), sent); took > resetTime+late {
+			return 0, false, fmt.Sprintf("%s: the connection was closed %v after it was sent, the machine late by %v: %v", id, took, late, err)
 		} else if !wasReset(conn, err) {
 			return 0, false, fmt.Sprintf("%s: it was read, and its connection closed %v after it was sent: %v", id, took, err)
 		}
