Add up what the rig was late by on one request's way in the checker deadlines

The checker allowed the worst single lateness on a request's way.

Traced: a play of testdata/view/torn.toml with 400 requests a second, all its processes stopped for 0.45 s twice, 2 to 20 ms apart, has the same findings in one of four plays: servers told 0.62 to 0.82 s too much, the rig late by 455 ms, each of these requests on its way across both stops. The client's clock ran through both; the node counts from when the bytes came to it, behind the rig's relay. So the lateness of one process after another adds up, and the node is right.

Change: the checker allows the time within a request's way in which a process of the rig slept, each moment once; processes that sleep together do not add up. The bound of 0.15 s is as it was.

--- a/internal/rig/evidence.go
+++ b/internal/rig/evidence.go
@@ -20,6 +20,7 @@
 	orderly  bool   // of a process: it ended by itself, as it was told to
 	of       string // of a lateness: whose it is, if it is not the rig's
 	by       int64  // of a lateness: how much
+	slept    bool   // of a lateness: a process did not run for all of the span
 }
 
 type toldStatus struct {
@@ -102,7 +103,7 @@
 		case Belated:
 			h.belated[e.Peer] = time.Duration(e.N * 1e9)
 		case Late:
-			h.late = append(h.late, span{from: e.At - int64(e.N*1e9), to: e.At, by: int64(e.N * 1e9)})
+			h.late = append(h.late, span{from: e.At - int64(e.N*1e9), to: e.At, by: int64(e.N * 1e9), slept: true})
 		case Viewed:
 			h.views[e.Node] = append(h.views[e.Node], viewLog{e.At, e.Text, int(e.N), e.Most == 1})
 		case Waited:
@@ -221,3 +222,19 @@
 	}
 	return time.Duration(worst)
 }
+
+// latenessOnTheWay is for how long the rig kept up something that was on its way
+// within a time: a process that woke late may have been followed by another.
+func (h *History) latenessOnTheWay(from, to int64) time.Duration {
+	slept := slices.DeleteFunc(slices.Clone(h.late), func(s span) bool { return !s.slept || !s.meets(from, to) })
+	slices.SortFunc(slept, func(a, b span) int { return cmp.Compare(a.from, b.from) })
+	total, counted := int64(0), from
+	for _, s := range slept {
+		begins, ends := max(s.from, counted), min(s.to, to)
+		if ends > begins {
+			total += ends - begins
+			counted = ends
+		}
+	}
+	return max(h.lateness(from, to), time.Duration(total))
+}
