Let operators' connections rest for a minute before their first order

Change: a connection on which nothing has come may rest for a minute there; it gives way to another as before. From the first byte on a head has 1 s as before. A variable of the environment that may be somebody else's has nobody called at the address it names; it is only listened at.

Tests: TestOrderOnAConnectionMadeLongBefore, which has EOF for an answer without the change; TestOthersVariablesHaveNobodyCalled; TestSilentConnectionsHoldUpNoOperator as it was.

--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -138,6 +138,9 @@
 // was inserted. The caller holds of.mu.
 func (c *clientConn) heard(b []byte, n int, oneAsked bool) int {
 	if idle, is := c.of.idle[c]; is { // of a request that is not whole yet
+		if !idle.Begun && c.of.headTime > 0 {
+			c.Conn.SetReadDeadline(time.Now().Add(c.of.headTime)) // fails only on a closed connection
+		}
 		idle.Since, idle.Begun = time.Now(), true
 		c.of.idle[c] = idle
 		return c.withHost(b, n)
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -42,9 +42,10 @@
 	most    int
 	life    *lifecycle.Node // nil: connections go on for good
 
-	mostExtra      int         // connections beyond most
-	completesCalls bool        // operators' calls need no Host
-	pauses         *pauseWatch // nil: the kernel tells when something came
+	mostExtra      int           // connections beyond most
+	completesCalls bool          // operators' calls need no Host
+	headTime       time.Duration // for a request's head from its first byte on; 0: no other than the server's
+	pauses         *pauseWatch   // nil: the kernel tells when something came
 
 	mu        sync.Mutex
 	conns     map[*clientConn]bool           // all that are open
--- a/internal/node/operatorserver.go
+++ b/internal/node/operatorserver.go
@@ -18,7 +18,8 @@
 
 // Bounds of an operator's call.
 const (
-	operatorReadTime  = time.Second
+	operatorReadTime  = time.Second // from its first byte
+	operatorRestTime  = time.Minute // before its first byte; what rests gives way
 	operatorWriteTime = 5 * time.Second
 )
 
@@ -65,6 +66,7 @@
 func (f *frontend) serveOperators(ln net.Listener, answers http.Handler) *http.Server {
 	limited := limitListener(ln, operatorConns, f.observer)
 	limited.completesCalls = true
+	limited.headTime = operatorReadTime
 	ended := make(chan struct{})
 	if ln.Addr().Network() == "unix" {
 		limited.pauses = &pauseWatch{}
@@ -75,7 +77,7 @@
 	srv := f.server(limited, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		take(r)
 		answers.ServeHTTP(w, r)
-	}), times{head: operatorReadTime, read: operatorReadTime})
+	}), times{head: operatorRestTime, read: operatorRestTime + operatorReadTime})
 	srv.WriteTimeout = operatorWriteTime
 	srv.SetKeepAlivesEnabled(false)
 	go func() {
--- a/internal/node/operatorserver_test.go
+++ b/internal/node/operatorserver_test.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -43,3 +45,34 @@
 		}
 	}
 }
+
+// TestOrderOnAConnectionMadeLongBefore guards against operators whose connection is closed as it rests before their first order, and against half orders that keep theirs.
+func TestOrderOnAConnectionMadeLongBefore(t *testing.T) {
+	t.Parallel()
+	n := startNode(t)
+	ln := testnet.Listen(t)
+	srv := n.front.serveOperators(ln, n.Operators("test"))
+	defer srv.Close()
+	dial := func(said string) net.Conn {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprint(c, said)
+		c.SetReadDeadline(time.Now().Add(enough))
+		return c
+	}
+	rests, half := dial(""), dial("POST /admin/qui")
+	defer rests.Close()
+	defer half.Close()
+	began := time.Now()
+	io.ReadAll(half) // what it is refused with does not matter
+	if took := time.Since(began); took > 2*operatorReadTime {
+		t.Errorf("half an order is kept for %v, want %v", took, operatorReadTime)
+	}
+	time.Sleep(3*operatorReadTime - time.Since(began))
+	fmt.Fprint(rests, "POST /admin/quiesce HTTP/1.1\r\nHost: node\r\nContent-Length: 2\r\n\r\n{}")
+	if resp, err := http.ReadResponse(bufio.NewReader(rests), nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("an order behind a rest of %v: %+v, %v, want 200", 3*operatorReadTime, resp, err)
+	}
+}
--- a/internal/operators/listeners.go
+++ b/internal/operators/listeners.go
@@ -88,7 +88,7 @@
 // begin hears operators at one more address. The caller holds mu.
 func (l *Listeners) begin(a Address) *entry {
 	ctx, end := context.WithCancelCause(context.Background())
-	e := &entry{endpoint: a.Endpoint, names: a.Names, end: end, of: l, why: "not tried yet", tried: make(chan struct{})}
+	e := &entry{endpoint: a.Endpoint, names: a.Names, mayVisit: !a.byOthers, end: end, of: l, why: "not tried yet", tried: make(chan struct{})}
 	l.running.Go(func() { e.run(ctx) })
 	return e
 }
@@ -140,6 +140,7 @@
 	endpoint Endpoint
 	of       *Listeners
 	end      context.CancelCauseFunc
+	mayVisit bool
 	visitor  visitor       // of an address that somebody else has
 	tried    chan struct{} // closed when the address was tried first
 
@@ -199,7 +200,7 @@
 		if err != nil {
 			e.refused(err)
 			noteTried()
-			if taken(err) {
+			if e.mayVisit && taken(err) {
 				e.visitor.start(ctx, &background, e)
 			}
 			pause(ctx, wait)
--- a/internal/operators/listeners_test.go
+++ b/internal/operators/listeners_test.go
@@ -265,6 +265,20 @@
 	}
 }
 
+// TestOthersVariablesHaveNobodyCalled guards against a node that connects to a service which an environment names for somebody else.
+func TestOthersVariablesHaveNobodyCalled(t *testing.T) {
+	other := testnet.Listen(t)
+	came := make(chan bool, 1)
+	go testnet.Serve(other, func(int, net.Conn) { came <- true })
+	l := started(t, Find(nil, []string{"BROKER_ADMIN=" + other.Addr().String()}, "127.0.0.1:1"), echo)
+	awaitNotAt(t, l, inUse)
+	select {
+	case <-came:
+		t.Error("the node connects")
+	case <-time.After(firstVisit + time.Second):
+	}
+}
+
 // TestRequestsOfAPlaceToCallAreServed guards against orders that come on a connection which the node makes and that nobody reads.
 func TestRequestsOfAPlaceToCallAreServed(t *testing.T) {
 	for name, wait := range map[string]time.Duration{"at once": 0, "behind the node's question": quietTime + 500*time.Millisecond} {
--- a/internal/operators/told.go
+++ b/internal/operators/told.go
@@ -22,6 +22,9 @@
 type Address struct {
 	Endpoint
 	Names []string // of the keys and variables that told it, such as "control" and "GW_CONTROL"
+
+	// byOthers: only variables told it that may have nothing to do with the platform.
+	byOthers bool
 }
 
 // Refusal is what a node was told of operators' address and that is none.
@@ -228,6 +231,7 @@
 		if known := &r.found.Addresses[i]; known.Network == e.Network && known.Address == e.Address {
 			known.Prefix = cmp.Or(known.Prefix, e.Prefix)
 			known.Names = append(known.Names, Shortened(name))
+			known.byOthers = known.byOthers && r.isOthers(name)
 			return
 		}
 	}
@@ -235,7 +239,7 @@
 		r.found.Refused = append(r.found.Refused, Refusal{Shortened(name), e.String(), fmt.Sprintf("over %d addresses", mostAddresses)})
 		return
 	}
-	r.found.Addresses = append(r.found.Addresses, Address{e, []string{Shortened(name)}})
+	r.found.Addresses = append(r.found.Addresses, Address{e, []string{Shortened(name)}, r.isOthers(name)})
 }
 
 // At tells whether operators are to be heard at an address of TCP.
