Connect anew at once to a place to call that stayed silent for a minute

A place that says nothing and answers nothing is kept connected for 60 s, as orders may come there; then nobody was connected to it for 15 s.

--- a/internal/operators/visitor.go
+++ b/internal/operators/visitor.go
@@ -140,6 +140,8 @@
 		v.note(e, "connects, and answers GET / with %q", said)
 	case err != nil:
 		v.note(e, "connects, says nothing, and closes on GET /: %v", err)
+	default: // requests may come on the next connection
+		return visitAgain
 	}
 	return visitEvery
 }
