Tell a name that says address, and is none, with other words before it too

my_admin_listen with a value that is no address was among the unknown names, with its kind and no reason. Only names whose prefix leaves open what they are, such as flow_control, stay there.

--- a/internal/node/told_test.go
+++ b/internal/node/told_test.go
@@ -65,6 +65,7 @@
 		{name: "an object in an object", keys: `"control":{"http":{"bind":"127.9.9.9","port":9000}},`, heard: "127.9.9.9:9000 control.http.port"},
 		{name: "JSON in a variable", variables: []string{`GW_CONTROL=[{"socket":"/run/c"}]`}, heard: "unix:/run/c GW_CONTROL.socket"},
 		{name: "an object without an address", keys: `"control":{"mode":"x","token":"y"},`, unheard: "control object with mode, token", unknown: "control.mode,control.token"},
+		{name: "other words before it", keys: `"my_admin_listen":"x","flow_control":"x",`, variables: []string{"GW_MY_OPS_ADDR=x"}, unheard: "my_admin_listen text of 1 bytes,GW_MY_OPS_ADDR text of 1 bytes", unknown: "flow_control"},
 		{name: "an empty text", keys: `"control":"",`, unheard: "control text of 0 bytes"},
 		{name: "too many", keys: `"control":[1,2,3,4,5],`, heard: "127.0.0.1:1 control,127.0.0.1:2 control,127.0.0.1:3 control,127.0.0.1:4 control", unheard: "control 127.0.0.1:5"},
 		{name: "a path of others' variables", variables: []string{"SOME_CONTROL=/usr/lib/x"}},
--- a/internal/operators/told.go
+++ b/internal/operators/told.go
@@ -212,7 +212,7 @@
 // refuse notes what is no address. What others' variables are told is not the platform's.
 func (r *reader) refuse(name string, value any, why string) {
 	role := roleOf(lastOf(name))
-	if !r.documented && role.prefixed || r.isOthers(name) {
+	if !r.documented && role.prefixed && !role.address || r.isOthers(name) {
 		return
 	}
 	r.found.names[name] = true
