Keep the bound of a drain that came before the termination signal it is read behind

What clients saw: connections and requests held past a drain's bound, up to 0.6 s in the soak and 1.3 s in the test, at a node that was stopped across an order to drain and SIGTERM.

Cause: as it woke it read the signal first, 4 ms before the order, and an order behind a termination signal was passed over, so all counted from the wake.

Change: an order that came before the node was told to end, as far as the kernel's ticks tell, begins its drain beside the stop, and the earlier bound holds, as where it is read first. Of the signal only when it was read is known, so an order that came in the same pause counts as before it; that refuses new requests, and holds none.

Tests, both failing before: TestDrainOrderedBeforeTheTerminationSignalCounts, and 'the process stood still across call and end' by each of three ways. Sound orders behind the signal are denied as before (TestTerminationGoesBeforeDrain, TestResumedNodeServes/not_once_told_to_end).

Also in here: two accept loops of tests folded into testnet.Serve.

--- a/cmd/indigotack/drain_test.go
+++ b/cmd/indigotack/drain_test.go
@@ -26,6 +26,7 @@
 		"over with the last answer":                    overWithTheLastAnswer,
 		"what clients ask is no command":               whatClientsAskIsNoCommand,
 		"the process stood still across the call":      stoodStillAcrossTheCall,
+		"the process stood still across call and end":  stoodStillAcrossCallAndEnd,
 		"the process stood still across the bound":     stoodStillAcrossTheBound,
 		"the process stood still behind a connection":  stoodStillBehindNewConnections,
 		"a reload keeps the drain":                     func(t *testing.T, way orderWay) { reloadKeepsTheDrain(t, way, false) },
@@ -309,7 +310,27 @@
 	if wrong := checkOrder(got); wrong != "" {
 		t.Errorf("as it wakes: %s", wrong)
 	}
-	checkLetGo(t, n, conns, woke)
+	checkLetGo(t, conns, woke)
+	n.checkHealth(t, false, "after the process has stood still")
+}
+
+func stoodStillAcrossCallAndEnd(t *testing.T, way orderWay) {
+	n := startDrainNode(t, way)
+	conns := holdClients(t, n)
+	n.signal(t, syscall.SIGSTOP)
+	n.awaitStanding(t)
+	sendWhileStanding(conns)
+	if _, err := io.WriteString(n.dialOperators(t), quiesceCall); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(standTime)
+	n.signal(t, syscall.SIGTERM)
+	woke := time.Now()
+	n.signal(t, syscall.SIGCONT)
+	checkLetGo(t, conns, woke)
+	if err := n.cmd.Wait(); err != nil {
+		t.Errorf("it ends with %v, want status 0", err)
+	}
 }
 
 func stoodStillAcrossTheBound(t *testing.T, way orderWay) {
@@ -322,7 +343,8 @@
 	time.Sleep(standTime)
 	woke := time.Now()
 	n.signal(t, syscall.SIGCONT)
-	checkLetGo(t, n, conns, woke)
+	checkLetGo(t, conns, woke)
+	n.checkHealth(t, false, "after the process has stood still")
 }
 
 func stoodStillBehindNewConnections(t *testing.T, way orderWay) {
@@ -356,7 +378,7 @@
 }
 
 // checkLetGo reports what is past its time as the process wakes and is not let go then.
-func checkLetGo(t *testing.T, n *drainNode, conns map[string]*net.TCPConn, woke time.Time) {
+func checkLetGo(t *testing.T, conns map[string]*net.TCPConn, woke time.Time) {
 	t.Helper()
 	got := readReplies(conns, woke.Add(machineSlack))
 	if hang := got["at a server that hangs"]; hang.err != nil || hang.status < 500 {
@@ -368,7 +390,6 @@
 		}
 	}
 	awaitReleased(t, conns, woke.Add(machineSlack))
-	n.checkHealth(t, false, "after the process has stood still")
 }
 
 func reloadKeepsTheDrain(t *testing.T, way orderWay, moves bool) {
--- a/internal/lifecycle/drain.go
+++ b/internal/lifecycle/drain.go
@@ -54,19 +54,26 @@
 	return false
 }
 
-// Drain begins a drain now, by an order, and gives it. It is nil,
-// and nothing changes, where the node is drained already, was told to end, or has
-// carried out a later order.
+// Drain begins a drain now, by an order, and gives it. It is nil, and nothing
+// changes, where the node is drained already, was told to end before the order
+// came, or has carried out a later order. A drain that was ordered before the
+// termination signal keeps its bound, in whatever order the two are read.
 func (n *Node) Drain(o Order, now time.Time, by string, plan ShutdownPlan) *Drain {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.terminated.IsZero() || n.overtaken(o) || n.drain != nil {
+	if n.endedBefore(o) || n.overtaken(o) || n.drain != nil {
 		return nil
 	}
 	n.drain = &Drain{Since: o.Came, By: by, begun: now, plan: plan}
 	return n.drain
 }
 
+// endedBefore tells whether the node was told to end before an order came. The
+// caller holds mu.
+func (n *Node) endedBefore(o Order) bool {
+	return !n.terminated.IsZero() && o.Came.Add(-o.Slack).After(n.terminated)
+}
+
 // Resume ends a drain by an order, and gives the one that it
 // ended; nil if there was none, or the node has carried out a later order. It is
 // denied once the node was told to end.
--- a/internal/lifecycle/drain_test.go
+++ b/internal/lifecycle/drain_test.go
@@ -86,6 +86,22 @@
 	}
 }
 
+// TestDrainOrderedBeforeTheTerminationSignalCounts guards against clients held past a drain's bound by a node that wakes to both and reads the signal first.
+func TestDrainOrderedBeforeTheTerminationSignalCounts(t *testing.T) {
+	var n Node
+	n.SetReady(true)
+	n.Terminate(second(12), drainPlan)
+	if n.Drain(order(10), second(12.1), "someone", drainPlan) == nil {
+		t.Error("the drain is passed over")
+	}
+	if got := n.ConnectionPhase(second(15), second(9)); got != Ended {
+		t.Errorf("past the drain's bound a connection of before is %v, want ended", got)
+	}
+	if got := n.Phase(second(12.1)); got != Draining {
+		t.Errorf("phase %v, want draining", got)
+	}
+}
+
 // TestOrdersInTheOrderInWhichTheyCame guards against a node that wakes to a drain and a resume and stays drained.
 func TestOrdersInTheOrderInWhichTheyCame(t *testing.T) {
 	var n Node
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -162,40 +162,25 @@
 	t.Helper()
 	ln := testnet.Listen(t)
 	g := &target{address: ln.Addr().String()}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
+	go testnet.Serve(ln, func(_ int, c net.Conn) {
+		r := bufio.NewReader(c)
+		for req, err := http.ReadRequest(r); err == nil; req, err = http.ReadRequest(r) {
+			io.Copy(io.Discard, req.Body)
+			g.mu.Lock()
+			resume := g.resume
+			g.mu.Unlock()
+			if resume != nil {
+				<-resume
+			}
+			g.served.Add(1)
+			if script == nil {
+				body := req.Header.Get("X-Request-Id") + " ok"
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			} else if !script(c, req) {
 				return
 			}
-			go func() {
-				defer c.Close()
-				r := bufio.NewReader(c)
-				for {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					io.Copy(io.Discard, req.Body)
-					g.mu.Lock()
-					resume := g.resume
-					g.mu.Unlock()
-					if resume != nil {
-						<-resume
-					}
-					g.served.Add(1)
-					if script != nil {
-						if !script(c, req) {
-							return
-						}
-						continue
-					}
-					body := req.Header.Get("X-Request-Id") + " ok"
-					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-				}
-			}()
 		}
-	}()
+	})
 	return g
 }
 
--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -30,19 +30,10 @@
 func backendServer(t *testing.T, script func(number int, c net.Conn, r *bufio.Reader)) string {
 	t.Helper()
 	ln := testnet.Listen(t)
-	go func() {
-		for i := 0; ; i++ {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			c.SetDeadline(time.Now().Add(3 * enough)) // a test that waits for the other side fails first
-			go func() {
-				defer c.Close()
-				script(i, c, bufio.NewReader(c))
-			}()
-		}
-	}()
+	go testnet.Serve(ln, func(number int, c net.Conn) {
+		c.SetDeadline(time.Now().Add(3 * enough)) // a test that waits for the other side fails first
+		script(number, c, bufio.NewReader(c))
+	})
 	return ln.Addr().String()
 }
 
