Count a stop from the pause in which the termination signal may have come

What callers saw: requests read and never answered, as the platform killed the node as early as it may. The node stood still when SIGTERM came and counted its stop from when it ran again, so its last answers were due behind the kill.

Change: a node notes when it did not run (looks 50 ms apart, which operators' sockets had already); a signal read within 50 ms behind such a pause counts from its beginning, but leaves the plan's last steps for what was read to have its answer.

--- a/cmd/indigotack/kill_test.go
+++ b/cmd/indigotack/kill_test.go
@@ -30,14 +30,22 @@
 	for _, longest := range []time.Duration{300 * time.Millisecond, 650 * time.Millisecond, 800 * time.Millisecond, 2 * time.Second} {
 		t.Run(longest.String(), func(t *testing.T) {
 			t.Parallel()
-			for _, lost := range requestsLostAtKill(t, longest) {
+			for _, lost := range requestsLostAtKill(t, longest, 0) {
 				t.Error(lost)
 			}
 		})
 	}
+	t.Run("told to end as it stood still", func(t *testing.T) {
+		t.Parallel()
+		for _, lost := range requestsLostAtKill(t, 2*time.Second, time.Second) {
+			t.Error(lost)
+		}
+	})
 }
 
-func requestsLostAtKill(t *testing.T, longest time.Duration) (lost []string) {
+// requestsLostAtKill tells of the requests that go without an answer around an end
+// whose signal comes as the process begins to stand still for a time.
+func requestsLostAtKill(t *testing.T, longest, pause time.Duration) (lost []string) {
 	t.Helper()
 	hangs := make(chan struct{})
 	t.Cleanup(func() { close(hangs) })
@@ -78,6 +86,13 @@
 		clients.Go(func() { sendUntilClosed(listen, i, longest, stopped, report) })
 	}
 	time.Sleep(500 * time.Millisecond)
+	if pause > 0 {
+		if err := cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+			t.Fatal(err)
+		}
+		time.AfterFunc(pause, func() { cmd.Process.Signal(syscall.SIGCONT) })
+		time.Sleep(pause / 10) // it stands
+	}
 	close(stopped)
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -46,6 +46,7 @@
 	inHand  atomic.Int64            // requests that were read and have no answer yet
 	orders  ordersOnListen
 	reserve reserve
+	pauses  pauseWatch
 
 	operatorListeners operatorListeners // beside the one where clients connect
 	operatorsPrefix   string            // is taken in front of their calls where clients connect, too
@@ -87,6 +88,9 @@
 	srv := f.server(limited, operators.WithoutPrefix(f.operatorsPrefix, f), f.times)
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(limited) }()
+	ended := make(chan struct{})
+	defer close(ended)
+	go f.pauses.run(ended)
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serving clients: %w", err)
@@ -111,11 +115,12 @@
 // shutdown begins an orderly stop and returns when the listener is closed and
 // clients are asked to close.
 func (f *frontend) shutdown(limited *limited) {
-	terminated, plan := time.Now(), f.plan()
+	plan := f.plan()
+	terminated := f.terminatedAt(time.Now(), plan)
 	f.life.Terminate(terminated, plan)
-	f.note(slog.LevelInfo, "termination signal", eventPhase, lifecycle.Draining.String(), "open", limited.open(),
+	f.note(slog.LevelInfo, "termination signal", eventPhase, lifecycle.Draining.String(), "open", limited.open(), "came_ago", time.Since(terminated),
 		"close_after", plan.Close, "answer_after", plan.Answer, "end_after", plan.End)
-	time.AfterFunc(plan.Answer, f.over.send)
+	time.AfterFunc(time.Until(terminated.Add(plan.Answer)), f.over.send)
 	f.drain(limited.open)
 	f.life.Close()
 	f.note(slog.LevelInfo, "asking clients to close", eventPhase, lifecycle.Closing.String(),
@@ -123,6 +128,17 @@
 	limited.leave(func() bool { return f.phase() < lifecycle.Expired })
 }
 
+// terminatedAt is when the termination signal may have come that has just been
+// read. What was taken has the plan's last steps left for its answer to be written,
+// however long the process stood still.
+func (f *frontend) terminatedAt(now time.Time, plan lifecycle.ShutdownPlan) time.Time {
+	came, _ := f.pauses.came(now)
+	if last := now.Add(-plan.Answer); came.Before(last) {
+		return last
+	}
+	return came
+}
+
 // drainOn serves on until clients are to be asked to close.
 func (f *frontend) drainOn(open func() int) {
 	for f.life.MayDrainOn(time.Now(), open()) {
--- a/internal/node/operatorserver.go
+++ b/internal/node/operatorserver.go
@@ -67,10 +67,8 @@
 	limited := limitListener(ln, operatorConns, f.observer)
 	limited.completesCalls = true
 	limited.headTime = operatorReadTime
-	ended := make(chan struct{})
 	if ln.Addr().Network() == "unix" {
-		limited.pauses = &pauseWatch{}
-		go limited.pauses.run(ended)
+		limited.pauses = &f.pauses
 	}
 	f.operatorListeners.add(limited)
 	f.reserve.add(&limited.spare)
@@ -82,7 +80,6 @@
 	srv.SetKeepAlivesEnabled(false)
 	go func() {
 		srv.Serve(limited) // ends with Close or Shutdown
-		close(ended)
 		f.operatorListeners.remove(limited)
 		f.reserve.remove(&limited.spare)
 	}()
--- a/internal/node/pauses.go
+++ b/internal/node/pauses.go
@@ -11,8 +11,9 @@
 	pauseWake  = 50 * time.Millisecond // in which a process takes up what came in a pause
 )
 
-// pauseWatch notes when the process stood still, for what comes on sockets of
-// which the kernel does not tell when. It is safe for concurrent use.
+// pauseWatch notes when the process stood still, for what comes and of which the
+// kernel does not tell when: signals, and what comes on Unix sockets. It is safe
+// for concurrent use.
 type pauseWatch struct {
 	mu       sync.Mutex
 	ticked   time.Time
