Read stops of one node that overlap for what they are in the rig's judge

Two stop faults of one node overlapped; a SIGCONT that finds the process running made a span in which the node counted as away from the run's beginning on, and a second SIGSTOP moved the beginning of the first. So findings of such a node were excused, too, in all runs with two such faults.

Change: a SIGSTOP to a process that stands changes nothing, nor does a SIGCONT to one that runs. Stricter for all but the case of the finding.

--- a/internal/rig/evidence.go
+++ b/internal/rig/evidence.go
@@ -123,9 +123,15 @@
 			case "killed":
 				gone[name] = span{from: e.At}
 			case "stopped (signal)":
-				stood[name] = e.At
+				if _, stands := stood[name]; !stands {
+					stood[name] = e.At
+				}
 			case "continued":
-				s := span{from: stood[name], to: e.At + int64(settleTime)}
+				from, stands := stood[name]
+				if !stands {
+					continue
+				}
+				s := span{from: from, to: e.At + int64(settleTime)}
 				delete(stood, name)
 				h.away[name] = append(h.away[name], s)
 				h.stands[name] = append(h.stands[name], s)
