Hold no attempt against a node that its stopped server read late

Traced: a server was stopped from 2.30 to 3.80 s; the node's first attempt there timed out and was over at 3.48 s by its log, when the second one went to another server; the stopped server read the first one's bytes as it ran again, at 3.80 s, and noted that it began, 0.1 ms before its end.

Cause: the judge took when a server read an attempt for when the node sent it. What such a server saw was left aside for attempts that had begun before, not for the one that begins.

Change: an attempt that begins at a server that stood still, or behind a faulty link, within the last second does not make others overlap.

--- a/internal/rig/check_requests.go
+++ b/internal/rig/check_requests.go
@@ -93,6 +93,9 @@
 	return anyMeets(h.wrong[[2]string{a.node, a.server}], from, to) || anyMeets(h.away[a.server], from, to)
 }
 
+// unjudged is the number of an attempt that the ledger does not hear of.
+const unjudged = -1
+
 // effects plays the history to a ledger. Clients' answers come last: what runs
 // behind a refusal is as wrong as what ran before it.
 func (h *History) effects() (looked int, found []Violation) {
@@ -133,7 +136,12 @@
 				}
 			}
 			k := key{e.Server, e.N}
-			out[k] = &open{attemptLog{e.At, e.Server, e.Node}, e.ID, l.Begin(e.ID, e.Node, at(e.At))}
+			o := &open{attemptLog{e.At, e.Server, e.Node}, e.ID, unjudged}
+			// One that its server has read late may have been over before the others began.
+			if len(byID[e.ID]) == 0 || !h.blurred(o.attemptLog, e.At-int64(time.Second), e.At) {
+				o.number = l.Begin(e.ID, e.Node, at(e.At))
+			}
+			out[k] = o
 			byID[e.ID] = append(byID[e.ID], k)
 		case Ran:
 			// By when it came, as the servers that drop repeats do.
