Hold attempts against the node whose connection they came on in the rig

Change: a connection is known by its port and the server that sees it. Test: TestOnePortToTwoServers.

--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -41,7 +41,7 @@
 	nodes    []*node
 	servers  []*server
 	front    *front
-	peers    sync.Map          // addresses under which servers see nodes, to their names
+	peers    sync.Map          // of seenConnection to the names of nodes
 	seen     map[string]string // addresses under which clients see nodes, to their names
 	ending   atomic.Bool
 	held     atomic.Int64                     // connections that clients have held so far
--- a/internal/rig/relay_test.go
+++ b/internal/rig/relay_test.go
@@ -437,3 +437,15 @@
 	slices.Sort(times)
 	return float64(times[int(p*float64(len(times)-1))]) / float64(time.Microsecond)
 }
+
+// TestOnePortToTwoServers guards against an attempt that is held against another node, whose connection to another server has the same port.
+func TestOnePortToTwoServers(t *testing.T) {
+	f := &fleet{}
+	f.noteConnection("127.0.0.1:1", "s0", "n0")
+	f.noteConnection("127.0.0.1:1", "s1", "n1")
+	for server, want := range map[string]string{"s0": "n0", "s1": "n1", "s2": ""} {
+		if got := f.nodeOf("127.0.0.1:1", server); got != want {
+			t.Errorf("%s sees %q, want %q", server, got, want)
+		}
+	}
+}
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -185,10 +185,26 @@
 	case l.to == Discovery:
 		f.tellings.connected(e.Local, e.Conn)
 	case l.from != Clients:
-		f.peers.Store(e.Local, l.from)
+		f.noteConnection(e.Local, l.to, l.from)
 	}
 }
 
+// seenConnection is a connection as a server sees it. One port of the rig's may
+// carry connections to several servers at once.
+type seenConnection struct{ peer, server string }
+
+// noteConnection notes whose node a server sees under an address.
+func (f *fleet) noteConnection(peer, server, node string) {
+	f.peers.Store(seenConnection{peer, server}, node)
+}
+
+// nodeOf is the node that a server sees under an address; "" if none is known.
+func (f *fleet) nodeOf(peer, server string) string {
+	node, _ := f.peers.Load(seenConnection{peer, server})
+	name, _ := node.(string)
+	return name
+}
+
 // play sends the load and carries out the timetable.
 func (f *fleet) play(ctx context.Context, progress func(Progress)) error {
 	p := f.plan
--- a/internal/rig/serverunit.go
+++ b/internal/rig/serverunit.go
@@ -76,9 +76,7 @@
 		return
 	}
 	if e.At -= s.of.log.zero; e.Peer != "" {
-		if from, ok := s.of.peers.Load(e.Peer); ok {
-			e.Node = from.(string)
-		}
+		e.Node = s.of.nodeOf(e.Peer, s.name)
 	}
 	s.of.log.add(e)
 }
