Name what a host that is not known is called, and derive a flag in one step

From a last reading: the reason 'no such host here' stood under the name resolvedBy, and the reading of an object's port gave a path of which only whether there is one was used.

--- a/internal/operators/listener.go
+++ b/internal/operators/listener.go
@@ -19,7 +19,7 @@
 	socketMode   fs.FileMode = 0o660
 	dialTime                 = time.Second            // to look who is at an address
 	staleAsk                 = 200 * time.Millisecond // for a socket's process to take a connection
-	resolvedBy               = "no such host here"
+	noSuchHost               = "no such host here"
 	inUse                    = "in use"
 	noFile                   = "a file is there that is no socket"
 	noFolder                 = "no folder for it"
@@ -52,7 +52,7 @@
 		taken bool
 	}{
 		{syscall.EADDRINUSE, inUse, true},
-		{syscall.EADDRNOTAVAIL, resolvedBy, true},
+		{syscall.EADDRNOTAVAIL, noSuchHost, true},
 		{syscall.ENOENT, noFolder, false},
 		{syscall.ENOTDIR, noFolder, false},
 		{syscall.EACCES, notPermitted, false},
@@ -84,7 +84,7 @@
 	}
 	address, err := resolve(ctx, e.Address)
 	if err != nil {
-		return nil, &unavailable{resolvedBy, false, nil}
+		return nil, &unavailable{noSuchHost, false, nil}
 	}
 	ln, err := new(net.ListenConfig).Listen(ctx, networkTCP, address)
 	if err != nil {
--- a/internal/operators/listeners_test.go
+++ b/internal/operators/listeners_test.go
@@ -173,7 +173,7 @@
 	l := started(t, told(long), echo)
 	awaitNotAt(t, l, "path of 108 bytes, 107 at most")
 	for err, want := range map[error]unavailable{
-		syscall.EADDRNOTAVAIL: {why: resolvedBy, taken: true},
+		syscall.EADDRNOTAVAIL: {why: noSuchHost, taken: true},
 		syscall.EACCES:        {why: notPermitted},
 		syscall.EMFILE:        {why: outOfFiles},
 		syscall.ENOTDIR:       {why: noFolder},
@@ -184,7 +184,7 @@
 		}
 	}
 	l.Update(told("control.invalid:9000"))
-	awaitNotAt(t, l, resolvedBy)
+	awaitNotAt(t, l, noSuchHost)
 }
 
 // TestStartHearsBeforeTheNodeIsReady guards against an order that finds nobody at a node that says it is ready.
--- a/internal/operators/object.go
+++ b/internal/operators/object.go
@@ -15,15 +15,12 @@
 func (r *reader) readObject(name string, object map[string]any) (told bool) {
 	before := len(r.found.names)
 	p, hasPort := portOf(object)
-	prefix := ""
-	if hasPort {
-		prefix = r.readPort(name, p, object)
-	}
+	hasPrefix := hasPort && r.readPort(name, p, object)
 	for _, key := range slices.Sorted(maps.Keys(object)) {
 		if hasPort && (key == p.portKey || key == p.hostKey) {
 			continue
 		}
-		r.readMember(join(name, key), key, object[key], prefix != "")
+		r.readMember(join(name, key), key, object[key], hasPrefix)
 	}
 	return len(r.found.names) > before
 }
@@ -41,9 +38,9 @@
 	}
 }
 
-// readPort takes up an object's port with its host, and gives the path in front
-// of calls that stands beside them.
-func (r *reader) readPort(name string, p place, object map[string]any) (prefix string) {
+// readPort takes up an object's port with its host, and tells whether a path in
+// front of calls stands beside them.
+func (r *reader) readPort(name string, p place, object map[string]any) (hasPrefix bool) {
 	if p.hostKey == "" {
 		p.host = r.host
 	} else {
@@ -52,15 +49,15 @@
 	e, why := parseEndpoint(net.JoinHostPort(strings.Trim(p.host, "[]"), p.port), r.host, !r.documented)
 	if why != "" {
 		r.refuse(join(name, p.portKey), json.Number(p.port), why)
-		return ""
+		return false
 	}
-	if path, is := object["path"].(string); is && strings.HasPrefix(path, "/") {
+	path, _ := object["path"].(string)
+	if hasPrefix = strings.HasPrefix(path, "/"); hasPrefix {
 		_, e.Prefix = splitURL(path)
-		prefix = path
 		r.found.names[join(name, "path")] = true
 	}
 	r.add(e, join(name, p.portKey))
-	return prefix
+	return hasPrefix
 }
 
 // portOf finds an object's port and its host.
--- a/internal/operators/visitor.go
+++ b/internal/operators/visitor.go
@@ -159,7 +159,7 @@
 	if e.Network == networkTCP {
 		var err error
 		if address, err = resolve(ctx, address); err != nil {
-			return nil, errors.New(resolvedBy)
+			return nil, errors.New(noSuchHost)
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTime)
