Overlap calls to discovery, and let the newest list hold, in a package of its own

Callers saw: requests sent to a draining server up to 6.5 s after the agent had the drain (2.05 s allowed), behind a watch that was reset, fell silent or trickled, where the agent then answered late or lost one more call.

Cause: one call to the agent was out at a time, and one wait decided both when to stop listening and when to ask again. Short, it gave up answers that were on their way; grown, it waited for a dead call while another would have been answered. The connect had a limit of its own that never grew.

Change: internal/discovery. schedule (pure) says which calls are open and when the next begins: a call that owes its answer stays open and another begins beside it an eighth of the grace later, on a connection of its own; older ones are thinned out, 16 at most, the oldest kept for as long as it takes. versions (pure) says which answer is news: one to a call that began after the list that holds had come is newer whatever its version, between others the higher version holds; a discovery that counts anew is still seen. caller makes one call, connecting being part of it, within 32 MB for all that are read. A draining entry in a list that is doubted counts at once. Where lists are asked for, steps double (0.6 s to 3 s, 4 calls at most), and a second order to follow gives up no call that is on its way. Calls of one follower end with it, also while they connect.

Tests that moved: those of lists and calls, with their bounds; planned chains are checked from no grace to 60 s (before from 0.25 s on). Asking again while a call is on its way is seen by TestAskedListIsNotAskedForTwice. TestLogTellsTheNodesState follows a list server instead of being told that a call was answered.

--- /dev/null
+++ b/cmd/indigotack/agentanswers_test.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"indigotack/internal/standin"
+)
+
+// agentTrouble is how an agent answers around the moment in which it learns that
+// a server drains. Calls that are made before it get no answer ever.
+type agentTrouble struct {
+	name   string
+	before standin.Manner
+	lasts  time.Duration // from the first call that is treated so to the drain
+	later  []standin.Manner
+}
+
+// manners gives each call from now on one of the manners in turn, and the last one for ever.
+func manners(all ...standin.Manner) func(standin.Call) standin.Manner {
+	var calls atomic.Int64
+	return func(standin.Call) standin.Manner {
+		return all[min(int(calls.Add(1)), len(all))-1]
+	}
+}
+
+// TestDrainIsKnownWhicheverCallIsAnswered guards against a drain that is known
+// late as one call waits for an answer that is late or never comes, or as answers on their way are given up.
+func TestDrainIsKnownWhicheverCallIsAnswered(t *testing.T) {
+	at := func(d time.Duration) standin.Manner { return standin.Manner{After: d} }
+	end := func(e standin.Ending) standin.Manner { return standin.Manner{End: e} }
+	const short = 100 * time.Millisecond
+	silent := end(standin.Silent)
+	for _, c := range []agentTrouble{
+		{"reset, then answers after 1.2 s", end(standin.Reset), 500 * time.Millisecond, []standin.Manner{at(1200 * time.Millisecond)}},
+		{"reset, then answers after 1.4 s", end(standin.Reset), 3 * time.Second, []standin.Manner{at(1400 * time.Millisecond)}},
+		{"unavailable, then answers after 1.2 s", end(standin.Unavailable), 3 * time.Second, []standin.Manner{at(1200 * time.Millisecond)}},
+		{"silent, then answers after 0.9 s", silent, short, []standin.Manner{at(900 * time.Millisecond)}},
+		{"silent, then answers after 1.2 s", silent, short, []standin.Manner{at(1200 * time.Millisecond)}},
+		{"silent, then answers after 1.4 s", silent, 800 * time.Millisecond, []standin.Manner{at(1400 * time.Millisecond)}},
+		{"trickles, then answers after 1.4 s", end(standin.Trickles), short, []standin.Manner{at(1400 * time.Millisecond)}},
+		{"silent for long, then answers in parts", silent, 3500 * time.Millisecond, []standin.Manner{{Over: 1500 * time.Millisecond}}},
+		{"silent for long, then one more", silent, 3500 * time.Millisecond, []standin.Manner{silent, {}}},
+		{"trickles for long, then one more", end(standin.Trickles), 3500 * time.Millisecond, []standin.Manner{end(standin.Trickles), {}}},
+		{"cut for long, then a silent one", end(standin.CutInBody), 3500 * time.Millisecond, []standin.Manner{silent, {}}},
+		{"stops in the head twice, then answers after 1 s", end(standin.StopsInHead), short, []standin.Manner{end(standin.StopsInHead), at(time.Second)}},
+		{"stops in the body, then three more", end(standin.StopsInBody), short,
+			append(slices.Repeat([]standin.Manner{end(standin.StopsInBody)}, 3), standin.Manner{})},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			late := c.sentAfterDrain(t)
+			for plays := 1; late < -drainGrace/4 && plays < 3; plays++ { // it had no requests right before, which shows nothing
+				late = c.sentAfterDrain(t)
+			}
+			t.Logf("the last request was sent %v after the drain", late)
+			if most := drainGrace + socketSlack; late > most {
+				t.Errorf("the draining server was sent a request %v after the agent had the drain, want %v at most", late, most)
+			}
+		})
+	}
+}
+
+// sentAfterDrain is how long after the agent had a drain the server was still sent requests.
+func (c agentTrouble) sentAfterDrain(t *testing.T) time.Duration {
+	play := newDrainPlay(t)
+	registry, err := standin.NewRegistry()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { registry.Close() })
+	agent, err := registry.Front("127.0.0.1:0", func(e standin.Entry) standin.Entry { return e }, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { agent.Close() })
+	for name, address := range play.servers {
+		registry.Set(standin.Entry{Name: name, Address: address, Zone: "a", Kind: "m2", Status: "ready", Weight: 1})
+	}
+	play.serve(t, agent.Address(), drainGrace)
+	began := make(chan bool, 1)
+	agent.Behave(func(standin.Call) standin.Manner {
+		select {
+		case began <- true:
+		default:
+		}
+		return c.before
+	})
+	select {
+	case <-began:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the node makes no call")
+	}
+	time.Sleep(c.lasts)
+	agent.Behave(manners(c.later...))
+	at := time.Now()
+	registry.Set(standin.Entry{Name: "drains", Address: play.servers["drains"], Zone: "a", Kind: "m2", Status: "draining", Weight: 1})
+	time.Sleep(4 * drainGrace)
+	return play.lastAfter(at)
+}
--- a/internal/connect/connect.go
+++ b/internal/connect/connect.go
@@ -1,4 +1,5 @@
-package node
+// Package connect begins TCP connections in a way that stands interrupted system calls.
+package connect
 
 import (
 	"context"
@@ -14,12 +15,12 @@
 // it counts as failed, for a want of this machine.
 const mostInterrupted = 16
 
-// beginConnect is a net.Dialer's ControlContext that begins to connect the
+// Begin is a net.Dialer's ControlContext that begins to connect the
 // socket itself. Package net takes EINTR of connect(2) for a connection that is
 // under way, and waits for it until its time is over, also where the call was
 // interrupted before it did anything. Its own connect then finds the connection
 // under way, or made.
-func beginConnect(_ context.Context, _, address string, raw syscall.RawConn) error {
+func Begin(_ context.Context, _, address string, raw syscall.RawConn) error {
 	to, err := netip.ParseAddrPort(address)
 	if err != nil || to.Addr().Zone() != "" {
 		return err // an address with a zone is left to package net, which knows the interfaces
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -1,15 +1,14 @@
-package node
+package discovery
 
 import (
 	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/fnv"
-	"io"
 	"log/slog"
 	"net"
 	"slices"
+	"time"
 
 	"indigotack/decide"
 	"indigotack/internal/jsonkeys"
@@ -19,28 +18,55 @@
 const (
 	maxList    = 16 << 20 // bytes of a list; ten thousand servers take an eighth
 	maxEntries = 50_000
-	maxRefused = 3 // entries that can't be used and are told of one by one
+	maxRefused = 3  // entries that can't be used and are told of one by one
+	maxUnknown = 20 // keys of lists that say nothing to the node and are told of
 )
 
-// list is a list of servers in discovery's form. A malformed entry must not
+// List is a list of servers in discovery's form. A malformed entry must not
 // cost the node the others, so it is left out and counted.
-type list struct {
+type List struct {
 	Index    uint64
 	Snapshot bool
-	Entries  []entry
+	Entries  []Entry
+	Origin   Origin
 	refused  int
 	why      []error  // of the first ones refused
-	unknown  []string // keys that say nothing to the node, up to mostUnknown
+	unknown  []string // keys that say nothing to the node, up to maxUnknown
 }
 
-// UnmarshalJSON is decode for a text at hand.
-func (l *list) UnmarshalJSON(text []byte) error {
+// Origin is the call that a list answers. Its zero value is of a list that answers none.
+type Origin struct {
+	Call  uint64 // the call's number
+	Began time.Time
+}
+
+// Kind is what the module is told of the list.
+func (l *List) Kind() decide.ListKind {
+	if l.Snapshot {
+		return decide.ListFull
+	}
+	return decide.ListChanges
+}
+
+// draining is the entries of a whole list that say that their servers drain, as changes of a version.
+func (l *List) draining(version uint64) List {
+	drains := List{Index: version, Origin: l.Origin}
+	for _, e := range l.Entries {
+		if e.State() == decide.Draining {
+			drains.Entries = append(drains.Entries, e)
+		}
+	}
+	return drains
+}
+
+// UnmarshalJSON reads a text at hand.
+func (l *List) UnmarshalJSON(text []byte) error {
 	return l.decode(json.NewDecoder(bytes.NewReader(text)))
 }
 
 // decode reads a list entry by entry, so that a large one is never held as text.
-func (l *list) decode(d *json.Decoder) error {
-	*l = list{}
+func (l *List) decode(d *json.Decoder) error {
+	*l = List{}
 	if t, err := d.Token(); err != nil || t != json.Delim('{') {
 		if err == nil && t == nil { // null: no list at all
 			return nil
@@ -63,7 +89,7 @@
 		case "endpoints":
 			err = l.entries(d)
 		default:
-			if name, is := key.(string); is && len(l.unknown) < mostUnknown {
+			if name, is := key.(string); is && len(l.unknown) < maxUnknown {
 				l.unknown = append(l.unknown, name)
 			}
 			var skipped json.RawMessage
@@ -77,7 +103,7 @@
 	return err
 }
 
-func (l *list) entries(d *json.Decoder) error {
+func (l *List) entries(d *json.Decoder) error {
 	t, err := d.Token()
 	if err != nil || t == nil {
 		return err
@@ -112,26 +138,26 @@
 const looksAtEntries = 16
 
 // noteUnknown keeps the keys of an entry that say nothing to the node.
-func (l *list) noteUnknown(raw json.RawMessage, e entry) {
-	if len(l.Entries)+l.refused >= looksAtEntries && states[e.Status] == decide.Ready || len(l.unknown) >= mostUnknown {
+func (l *List) noteUnknown(raw json.RawMessage, e Entry) {
+	if len(l.Entries)+l.refused >= looksAtEntries && e.State() == decide.Ready || len(l.unknown) >= maxUnknown {
 		return
 	}
-	for _, key := range jsonkeys.Unknown(raw, entry{}) {
+	for _, key := range jsonkeys.Unknown(raw, Entry{}) {
 		if name := "endpoints." + key; !slices.Contains(l.unknown, name) {
 			l.unknown = append(l.unknown, name)
 		}
 	}
 }
 
-// note tells of entries that could not be used.
-func (l *list) note(log *slog.Logger) {
+// Note tells of entries that could not be used.
+func (l *List) Note(log *slog.Logger) {
 	if l.refused > 0 {
 		log.Warn("list entries skipped", "count", l.refused, "first", errors.Join(l.why...))
 	}
 }
 
-// entry is one server of a list.
-type entry struct {
+// Entry is one server of a list.
+type Entry struct {
 	Name    string  `json:"name"`
 	Address string  `json:"address"`
 	Zone    string  `json:"zone"`
@@ -144,17 +170,17 @@
 
 // looseEntry is an entry as it may stand in a list: JSON has one kind of number.
 type looseEntry struct {
-	entry
+	Entry
 	Cell    float64 `json:"group"`
 	SinceMS float64 `json:"since_ms"`
 }
 
 // parseEntry reads one entry. One that can't be used as a whole is still good
 // for telling that its server drains or is gone, where it says that.
-func parseEntry(text []byte) (entry, error) {
+func parseEntry(text []byte) (Entry, error) {
 	var loose looseEntry
 	err := json.Unmarshal(text, &loose)
-	e := loose.entry
+	e := loose.Entry
 	e.Cell, e.SinceMS = int(loose.Cell), int64(loose.SinceMS)
 	if err == nil {
 		err = e.check()
@@ -164,28 +190,31 @@
 	}
 	var least struct{ Name, Status string }
 	if json.Unmarshal(text, &least) != nil || least.Name == "" {
-		return entry{}, err
+		return Entry{}, err
 	}
 	if state, known := states[least.Status]; !known || state == decide.Ready {
-		return entry{}, err
+		return Entry{}, err
 	}
-	return entry{Name: least.Name, Status: least.Status}, nil
+	return Entry{Name: least.Name, Status: least.Status}, nil
 }
 
-// complete gives a draining server's entry that has only its name and status
+// Complete gives a draining server's entry that has only its name and status
 // what was known of the server before.
-func (e entry) complete(known map[string]entry) entry {
+func (e Entry) Complete(known map[string]Entry) Entry {
 	before, found := known[e.Name]
-	if !found || e.Address != "" || states[e.Status] != decide.Draining {
+	if !found || e.Address != "" || e.State() != decide.Draining {
 		return e
 	}
 	before.Status = e.Status
 	return before
 }
 
+// State is the entry's status as the module knows it.
+func (e Entry) State() decide.ServerState { return states[e.Status] }
+
 var states = map[string]decide.ServerState{"ready": decide.Ready, "draining": decide.Draining, "gone": decide.Gone}
 
-func (e entry) check() error {
+func (e Entry) check() error {
 	if e.Name == "" {
 		return errors.New("no name")
 	}
@@ -201,42 +230,3 @@
 	}
 	return nil
 }
-
-// ids gives servers their numbers: a hash of the name, so that every node and
-// every restart agrees on them.
-type ids struct {
-	byName map[string]decide.ServerID
-	byID   map[decide.ServerID]string
-	hash   func(string) uint32
-}
-
-func newIDs() *ids {
-	return &ids{byName: map[string]decide.ServerID{}, byID: map[decide.ServerID]string{}, hash: func(s string) uint32 {
-		h := fnv.New32a()
-		io.WriteString(h, s) // never fails
-		return h.Sum32()
-	}}
-}
-
-// of finds the number of a name. Of two names with one hash the later listed
-// is hashed again: two servers under one number would share their load and
-// their drains.
-func (d *ids) of(name string) decide.ServerID {
-	if id, ok := d.byName[name]; ok {
-		return id
-	}
-	id := decide.ServerID(d.hash(name))
-	for salted := name; ; id = decide.ServerID(d.hash(salted)) {
-		if _, taken := d.byID[id]; !taken {
-			break
-		}
-		salted += "\x00"
-	}
-	d.byName[name], d.byID[id] = id, name
-	return id
-}
-
-func (d *ids) forget(name string) {
-	delete(d.byID, d.byName[name])
-	delete(d.byName, name)
-}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -111,3 +111,14 @@
 	suppressed, w.suppressed = w.suppressed, 0
 	return true, suppressed
 }
+
+// maxShortened is how many bytes of what others say stand in a line.
+const maxShortened = 200
+
+// Shortened is what others say, cut for a line of the log.
+func Shortened(text string) string {
+	if len(text) > maxShortened {
+		return text[:maxShortened] + "..."
+	}
+	return text
+}
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/connect"
 	"indigotack/internal/lifecycle"
 	"indigotack/internal/neterr"
 	"indigotack/internal/wire"
@@ -102,7 +103,7 @@
 
 func newPool(s decide.Settings, most int, o *observer) *pool {
 	p := &pool{observer: o, grace: s.DrainGrace, most: most, rest: restTime, maxBody: maxBody, backends: map[decide.ServerID]*backend{}, idle: lru.New(),
-		dialer: net.Dialer{Timeout: s.ConnectTimeout, KeepAlive: -1, ControlContext: beginConnect}}
+		dialer: net.Dialer{Timeout: s.ConnectTimeout, KeepAlive: -1, ControlContext: connect.Begin}}
 	failConnects(&p.dialer)
 	if p.maxIdle = time.Duration(idlePart * float64(s.ConnIdle)); s.ConnIdle <= 0 {
 		p.maxIdle = time.Minute
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -10,6 +10,7 @@
 	"strconv"
 
 	"indigotack/decide"
+	"indigotack/internal/discovery"
 	"indigotack/internal/operators"
 	"indigotack/internal/wire"
 )
@@ -33,7 +34,7 @@
 	Sockets   int // file descriptors
 	Settings  decide.Settings
 
-	known list // the servers as the node last had them
+	known discovery.List // the servers as the node last had them
 
 	unknownKeys      []unknownValue // of the configuration
 	unknownVariables []unknownValue // of the environment
@@ -105,7 +106,7 @@
 			Sockets  int `json:"sockets"`
 		} `json:"limits"`
 		Peer     lenientText     `json:"peer_listen"`
-		Known    list            `json:"known"`
+		Known    discovery.List  `json:"known"`
 		Settings json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(raw, &in); err != nil {
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/eventlog"
 	"indigotack/internal/lifecycle"
 	"indigotack/internal/operators"
 )
@@ -304,8 +305,5 @@
 
 // shortened is what a client says, cut for the log.
 func shortened(text string) string {
-	if len(text) > maxLogged {
-		return text[:maxLogged] + "..."
-	}
-	return text
+	return eventlog.Shortened(text)
 }
--- a/internal/node/listlog.go
+++ b/internal/node/listlog.go
@@ -4,8 +4,10 @@
 	"log/slog"
 	"slices"
 	"strings"
+	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/discovery"
 )
 
 // listChange is what a list says that the one before did not.
@@ -32,11 +34,11 @@
 }
 
 // compareLists tells what entries, changes or a whole list, change in known.
-func compareLists(known map[string]entry, entries []entry, whole bool) (c listChange) {
+func compareLists(known map[string]discovery.Entry, entries []discovery.Entry, whole bool) (c listChange) {
 	kept := 0
 	for _, e := range entries {
 		was, found := known[e.Name]
-		if found && states[e.Status] != decide.Gone {
+		if found && e.State() != decide.Gone {
 			kept++
 		}
 		c.add(e, was, found)
@@ -48,8 +50,8 @@
 }
 
 // add notes what an entry changes.
-func (c *listChange) add(e, was entry, found bool) {
-	switch state := states[e.Status]; {
+func (c *listChange) add(e, was discovery.Entry, found bool) {
+	switch state := e.State(); {
 	case state == decide.Gone && found:
 		c.removed = append(c.removed, e.Name)
 	case state == decide.Gone:
@@ -69,9 +71,9 @@
 // lastOfEach keeps the last entry of each server, as an answer may tell several
 // changes of one. It sorts them by name: the numbers of names that share a hash
 // depend on the order, which must not be the list's.
-func lastOfEach(entries []entry) []entry {
+func lastOfEach(entries []discovery.Entry) []discovery.Entry {
 	sorted := slices.Clone(entries)
-	slices.SortStableFunc(sorted, func(a, b entry) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortStableFunc(sorted, func(a, b discovery.Entry) int { return strings.Compare(a.Name, b.Name) })
 	kept := sorted[:0]
 	for i, e := range sorted {
 		if last := i == len(sorted)-1 || sorted[i+1].Name != e.Name; last {
@@ -82,10 +84,10 @@
 }
 
 // leftOut gives the known servers that a whole list does not have, or has as gone.
-func leftOut(known map[string]entry, entries []entry) (names []string) {
+func leftOut(known map[string]discovery.Entry, entries []discovery.Entry) (names []string) {
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
-		listed[e.Name] = states[e.Status] != decide.Gone
+		listed[e.Name] = e.State() != decide.Gone
 	}
 	for name := range known {
 		if !listed[name] {
@@ -96,12 +98,12 @@
 }
 
 // applyList brings what is known up to a list, which is whole or changes.
-func applyList(known map[string]entry, entries []entry, whole bool) {
+func applyList(known map[string]discovery.Entry, entries []discovery.Entry, whole bool) {
 	if whole {
 		clear(known)
 	}
 	for _, e := range entries {
-		if states[e.Status] == decide.Gone {
+		if e.State() == decide.Gone {
 			delete(known, e.Name)
 		} else {
 			known[e.Name] = e
@@ -112,13 +114,16 @@
 var listKinds = map[decide.ListKind]string{decide.ListChanges: "changes", decide.ListFull: "full", decide.ListCached: "cached"}
 
 // noteList logs what a list changes, before it is taken up, and counts lists.
-func (n *owner) noteList(entries []entry, version uint64, kind decide.ListKind) {
+func (n *owner) noteList(entries []discovery.Entry, version uint64, kind decide.ListKind, origin discovery.Origin) {
 	n.count(eventList, listKinds[kind])
 	n.listVersion = version
 	change := compareLists(n.entries, entries, kind != decide.ListChanges)
 	applyList(n.entries, entries, kind != decide.ListChanges)
 	if !change.empty() {
 		args := append([]any{"version", version, "servers", len(n.entries)}, change.args()...)
+		if origin.Call > 0 {
+			args = append(args, "call", origin.Call, "call_began_ago", time.Since(origin.Began))
+		}
 		n.note(slog.LevelInfo, "servers changed", eventList, "changed", args...)
 	}
 }
--- a/internal/node/mistakes_faulty.go
+++ b/internal/node/mistakes_faulty.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/discovery"
 	"indigotack/internal/faultnet"
 )
 
@@ -60,22 +61,19 @@
 	}
 }
 
-// onTorn: "ends-on-torn-list".
-func onTorn(err error) {
+// onCallFailed: "ends-on-torn-list" does; "hangs-with-discovery" has its loop wait
+// for a discovery that says nothing.
+func onCallFailed(err error) {
 	if mistake == "ends-on-torn-list" && errors.Is(err, io.ErrUnexpectedEOF) {
 		panic(err)
 	}
-}
-
-// onSilence: "hangs-with-discovery" has its loop wait for a discovery that says nothing.
-func onSilence(err error) {
 	if mistake == "hangs-with-discovery" && errors.Is(err, context.DeadlineExceeded) {
 		discoverySilent.Store(true)
 	}
 }
 
 // listedAs: "ignores-drains" takes draining servers for ready ones.
-func listedAs(_ entry, state decide.ServerState) decide.ServerState {
+func listedAs(_ discovery.Entry, state decide.ServerState) decide.ServerState {
 	if mistake == "ignores-drains" && state == decide.Draining {
 		return decide.Ready
 	}
@@ -83,7 +81,7 @@
 }
 
 // startedAt: "floods-cold" takes cold servers for warm ones, and sends them all.
-func startedAt(e entry) int64 {
+func startedAt(e discovery.Entry) int64 {
 	if mistake == "floods-cold" {
 		if e.SinceMS > 0 {
 			coldest.Store(e.Name)
@@ -133,9 +131,9 @@
 
 // watchTimes: "patient-with-watches" waits for a silent watch as long as a
 // remote service may take, whatever the grace.
-func watchTimes(t listTimes) listTimes {
+func watchTimes(t discovery.Times) discovery.Times {
 	if mistake == "patient-with-watches" {
-		t.hold, t.silence = 2*time.Second, time.Second
+		t.Hold, t.FirstStep, t.LastStep = 2*time.Second, time.Second, time.Second
 	}
 	return t
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 
 	"indigotack/decide"
 	"indigotack/internal/appconfig"
+	"indigotack/internal/discovery"
 	"indigotack/internal/metrics"
 	"indigotack/internal/operators"
 )
@@ -22,7 +23,7 @@
 	*owner
 	cfg       Config
 	front     *frontend
-	discovery *discovery           // the loop's
+	discovery *discovery.Follower  // the loop's
 	listeners *operators.Listeners // operators' own; nil: HearOperators was not called
 }
 
@@ -39,9 +40,8 @@
 	n := &Node{cfg: cfg, owner: newOwner(set, cfg.Seed, servers, newObserver(log))}
 	n.front = platformFront(n, clients)
 	n.owner.listChanged = func(servers int) { n.front.life.SetReady(servers > 0) }
-	n.owner.ask = func(fetch, watch bool) { n.discovery.ask(n.ctx, fetch, watch) }
-	n.discovery = n.discoveryAt(cfg.Discovery)
-	n.discovery.index = cfg.known.Index
+	n.owner.ask = func(fetch, watch bool) { n.discovery.Ask(n.ctx, fetch, watch) }
+	n.discovery = n.discoveryAt(cfg.Discovery, cfg.known.Index)
 	return n
 }
 
@@ -64,38 +64,43 @@
 // Counters are what the node has counted since it was made.
 func (n *Node) Counters() *metrics.Set { return n.counters }
 
-// discoveryAt makes a discovery whose news count for as long as it is the node's.
-func (n *Node) discoveryAt(address string) *discovery {
-	var d *discovery
+// discoveryAt makes a follower of the list at an address, from a version on, whose
+// news count for as long as it is the node's.
+func (n *Node) discoveryAt(address string, version uint64) *discovery.Follower {
+	from := discovery.Agent
+	if n.cfg.Settings.AskForList {
+		from = discovery.Asked
+	}
+	times := watchTimes(discovery.PlanTimes(from, n.cfg.Settings.DrainGrace))
+	var d *discovery.Follower
+	sink := n.sinkWhile(func() bool { return n.discovery == d })
+	d = discovery.NewFollower(address, from, times, version, n.log, recorder{n.observer}, sink)
+	return d
+}
+
+// sinkWhile takes up news of discovery for as long as they count, which the event
+// loop asks.
+func (n *Node) sinkWhile(counts func() bool) discovery.Sink {
 	news := func(f func()) {
 		n.post(func() {
-			if n.discovery == d {
+			if counts() {
 				f()
 			}
 		})
 	}
-	from, grace := agent, n.cfg.Settings.DrainGrace
-	if n.cfg.Settings.AskForList {
-		from = asked
-	}
-	times := watchTimes(planLists(from, grace))
-	if late := times.late(from, grace, callTime); late > 0 {
-		n.log.Warn("the grace for draining servers is too short to hear of a drain in time after discovery was silent", "grace", grace, "late", late)
-	}
-	d = newDiscovery(address, times, n.observer,
-		func(l list) { news(func() { n.follow(l.Entries, l.Index, kindOf(l)) }) },
-		func() { news(func() { n.handle(decide.ListUpdate{Kind: decide.ListFailed}) }) })
-	if from == agent {
-		d.confirmed = func(at time.Time) { news(func() { n.backends.stalls.confirm(at) }) }
+	return discovery.Sink{
+		List:       func(l discovery.List) { news(func() { n.follow(l.Entries, l.Index, l.Kind(), l.Origin) }) },
+		Failed:     func() { news(func() { n.handle(decide.ListUpdate{Kind: decide.ListFailed}) }) },
+		Confirmed:  func(at time.Time) { news(func() { n.backends.stalls.confirm(at) }) }, // without a guard, nothing
+		CallFailed: onCallFailed,
 	}
-	return d
 }
 
 // watchStalls has the list confirmed after the process stood still.
 func (n *Node) watchStalls() {
 	n.backends.stalls = newStallGuard(n.cfg.Settings.DrainGrace, func() {
 		n.note(slog.LevelWarn, "the process stood still, the list is confirmed before anything is sent", eventStall, "confirmed")
-		go n.post(func() { n.discovery.confirmAgain() })
+		go n.post(func() { n.discovery.ConfirmAgain() })
 	})
 	go n.backends.stalls.run(n.ctx)
 }
@@ -118,23 +123,16 @@
 		}
 		n.log.Info("discovery has moved", "address", cfg.Discovery)
 		n.cfg.Discovery = cfg.Discovery
-		n.discovery.end()
-		n.discovery = n.discoveryAt(cfg.Discovery)
+		n.discovery.End()
+		n.discovery = n.discoveryAt(cfg.Discovery, 0)
 		if n.cfg.Settings.AskForList {
-			n.discovery.ask(n.ctx, true, true)
+			n.discovery.Ask(n.ctx, true, true)
 		} else {
-			go n.discovery.follow(n.ctx)
+			go n.discovery.Follow(n.ctx)
 		}
 	})
 }
 
-func kindOf(l list) decide.ListKind {
-	if l.Snapshot {
-		return decide.ListFull
-	}
-	return decide.ListChanges
-}
-
 // Run serves clients on ln until ctx ends, then finishes what is open.
 func (n *Node) Run(ctx context.Context, ln net.Listener) error {
 	first := n.discovery // the loop may replace it
@@ -148,12 +146,12 @@
 			go n.noteStreams(n.ctx, n.cfg.Peer)
 		}
 	}
-	n.cfg.known.note(n.log)
-	first.noteUnknown(&n.cfg.known)
-	n.post(func() { n.follow(n.cfg.known.Entries, n.cfg.known.Index, decide.ListCached) })
+	n.cfg.known.Note(n.log)
+	first.NoteUnknown(&n.cfg.known)
+	n.post(func() { n.follow(n.cfg.known.Entries, n.cfg.known.Index, decide.ListCached, discovery.Origin{}) })
 	if !n.cfg.Settings.AskForList {
 		n.watchStalls()
-		go first.follow(n.ctx)
+		go first.Follow(n.ctx)
 	}
 	err := n.front.serve(ctx, ln)
 	stop()
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"indigotack/internal/discovery"
 	"indigotack/internal/eventlog"
 	"indigotack/internal/lifecycle"
 	"indigotack/internal/metrics"
@@ -22,8 +23,7 @@
 	eventRetry      = "retries"            // a request is sent once more
 	eventConnection = "connections_closed" // a client's connection was closed by this side
 	eventAccept     = "accept_errors"      // accepting a connection has failed
-	eventList       = "lists"              // a list of servers was taken up
-	eventDiscovery  = "discovery_calls"    // a call to discovery has ended
+	eventList       = discovery.EventList  // a list of servers was taken up
 	eventOperator   = "operator_calls"     // an operator has given an order, or asked
 	eventUnread     = "unread"             // a connection or a request was refused or closed before a request was taken
 	eventPhase      = "phases"             // the node's life has gone on
@@ -77,6 +77,17 @@
 	o.log.Log(context.Background(), level, message, args...)
 }
 
+// recorder is an observer as package discovery sees it.
+type recorder struct{ *observer }
+
+// Count counts an event that is too common for the log.
+func (r recorder) Count(event, reason string) { r.count(event, reason) }
+
+// Note counts an event and logs it, unless there were many of its kind lately.
+func (r recorder) Note(level slog.Level, message, event, reason string, args ...any) {
+	r.note(level, message, event, reason, args...)
+}
+
 // NoteSignal counts and logs that the process was sent a signal.
 func (o *observer) NoteSignal(s os.Signal) {
 	name := s.String()
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -9,6 +9,7 @@
 
 	"indigotack/decide"
 	"indigotack/internal/clock"
+	"indigotack/internal/discovery"
 	"indigotack/internal/lifecycle"
 )
 
@@ -37,8 +38,8 @@
 	module      *decide.Module
 	ids         *ids
 	listed      map[string]decide.ServerID
-	entries     map[string]entry // as listed last
-	listVersion uint64           // of that list
+	entries     map[string]discovery.Entry // as listed last
+	listVersion uint64                     // of that list
 	startTimes  startTimes
 	requests    map[decide.RequestID]*request
 	queue       []decide.Event // that came of actions, to be handled next
@@ -91,7 +92,7 @@
 func newOwner(s decide.Settings, seed int64, sockets int, o *observer) *owner {
 	return &owner{observer: o, start: time.Now(), wall: time.Duration(clock.Wall().UnixNano()), events: make(chan func(), eventQueueSize), ended: make(chan struct{}),
 		backends: newPool(s, sockets, o), listChanged: func(int) {}, set: s, module: decide.New(s, seed), ids: newIDs(),
-		listed: map[string]decide.ServerID{}, entries: map[string]entry{}, startTimes: newStartTimes(), requests: map[decide.RequestID]*request{}}
+		listed: map[string]decide.ServerID{}, entries: map[string]discovery.Entry{}, startTimes: newStartTimes(), requests: map[decide.RequestID]*request{}}
 }
 
 // run starts the loop. It goes on after ctx has ended, until stop is called.
@@ -415,13 +416,14 @@
 		"id", r.id, "attempt", number, "server", n.ids.byID[server], "after", took, "err", res.err)
 }
 
-// follow takes a list of servers: addresses for the sockets, the rest for the module.
-func (n *owner) follow(entries []entry, version uint64, kind decide.ListKind) {
+// follow takes a list of servers, as a call told it: addresses for the sockets, the
+// rest for the module.
+func (n *owner) follow(entries []discovery.Entry, version uint64, kind decide.ListKind, origin discovery.Origin) {
 	entries = lastOfEach(entries)
 	for i, e := range entries {
-		entries[i] = e.complete(n.entries)
+		entries[i] = e.Complete(n.entries)
 	}
-	n.noteList(entries, version, kind)
+	n.noteList(entries, version, kind, origin)
 	u := decide.ListUpdate{Kind: kind, Version: version}
 	now := n.now()
 	n.startTimes.observe(clock.Wall(), now)
@@ -432,7 +434,7 @@
 		}
 	}
 	for _, e := range entries {
-		id, state := n.ids.of(e.Name), listedAs(e, states[e.Status])
+		id, state := n.ids.of(e.Name), listedAs(e, e.State())
 		u.Entries = append(u.Entries, decide.Server{ID: id, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, State: state,
 			Size: e.Weight, StartedAt: n.startTimes.place(e.Name, startedAt(e), now)})
 		if missing[e.Name] = state == decide.Gone; state != decide.Gone {
--- a/internal/node/sidecar.go
+++ b/internal/node/sidecar.go
@@ -17,6 +17,7 @@
 	"indigotack/decide"
 	"indigotack/internal/appconfig"
 	"indigotack/internal/clock"
+	"indigotack/internal/discovery"
 	"indigotack/internal/lifecycle"
 	"indigotack/internal/metrics"
 	"indigotack/internal/route"
@@ -43,9 +44,9 @@
 	ctx     context.Context
 
 	listMu  sync.Mutex // lists reach the pools in order; taken after mu
-	entries map[string]entry
+	entries map[string]discovery.Entry
 	version uint64
-	source  *discovery // nil with a file of servers
+	source  *discovery.Follower // nil with a file of servers
 }
 
 // sidePool is one pool with its owner.
@@ -61,7 +62,7 @@
 
 // NewSidecar makes a sidecar for a checked application; Run starts it.
 func NewSidecar(app *appconfig.App, seed int64, log *slog.Logger) (*Sidecar, error) {
-	s := &Sidecar{observer: newObserver(log), seed: seed, start: time.Now(), app: app, pools: map[string]*sidePool{}, entries: map[string]entry{}}
+	s := &Sidecar{observer: newObserver(log), seed: seed, start: time.Now(), app: app, pools: map[string]*sidePool{}, entries: map[string]discovery.Entry{}}
 	var err error
 	if s.chooser, err = app.Chooser(); err != nil {
 		return nil, fmt.Errorf("routes: %w", err)
@@ -184,14 +185,14 @@
 		p := s.pools[pool.Name]
 		if p == nil {
 			p = s.newPool(&app, pool)
-			s.fill(p)
+			s.fill(p, discovery.Origin{})
 		} else {
 			if settings := app.Settings(pool.Name); !reflect.DeepEqual(settings, old.Settings(pool.Name)) {
 				p.reconfigure(settings)
 			}
 			if !samePool(p.pool, pool) {
 				p.pool = pool
-				s.fill(p)
+				s.fill(p, discovery.Origin{})
 			}
 			p.backends.limit(app.PoolRoom())
 		}
@@ -226,7 +227,7 @@
 func (s *Sidecar) takeSource(app *appconfig.App, discoveryBefore string) error {
 	if app.ServerFile != "" {
 		if s.source != nil {
-			s.source.end()
+			s.source.End()
 			s.source = nil
 		}
 		servers, mistakes := appconfig.LoadServers(app.ServerFile)
@@ -240,20 +241,22 @@
 		return nil
 	}
 	if s.source != nil {
-		s.source.end()
+		s.source.End()
 	}
-	var d *discovery
-	d = newDiscovery(app.Discovery, planLists(server, app.DrainGrace), s.observer, func(l list) {
+	var d *discovery.Follower
+	take := func(l discovery.List) {
 		s.mu.RLock()
 		defer s.mu.RUnlock()
 		s.listMu.Lock()
 		defer s.listMu.Unlock()
 		if s.source == d {
-			s.take(l.Entries, l.Index, kindOf(l))
+			s.take(l.Entries, l.Index, l.Kind(), l.Origin)
 		}
-	}, func() {})
+	}
+	times := discovery.PlanTimes(discovery.Server, app.DrainGrace)
+	d = discovery.NewFollower(app.Discovery, discovery.Server, times, 0, s.log, recorder{s.observer}, discovery.Sink{List: take})
 	s.source = d
-	go d.follow(s.ctx)
+	go d.Follow(s.ctx)
 	return nil
 }
 
@@ -261,9 +264,9 @@
 // reading, or has moved, may just have started and is taken as cold.
 func (s *Sidecar) takeFile(servers []appconfig.Server) {
 	first := s.version == 0
-	entries := make([]entry, 0, len(servers))
+	entries := make([]discovery.Entry, 0, len(servers))
 	for _, one := range servers {
-		e := entry{Name: one.Name, Address: one.Address, Zone: one.Zone, Kind: one.Kind, Cell: one.Cell, Status: "ready", Weight: one.Weight}
+		e := discovery.Entry{Name: one.Name, Address: one.Address, Zone: one.Zone, Kind: one.Kind, Cell: one.Cell, Status: "ready", Weight: one.Weight}
 		if one.Draining {
 			e.Status = "draining"
 		}
@@ -274,21 +277,21 @@
 		}
 		entries = append(entries, e)
 	}
-	s.take(entries, s.version+1, decide.ListFull)
+	s.take(entries, s.version+1, decide.ListFull, discovery.Origin{})
 }
 
 // take passes a list, or changes of it, on to the pools. The caller holds listMu and mu.
-func (s *Sidecar) take(entries []entry, version uint64, kind decide.ListKind) {
+func (s *Sidecar) take(entries []discovery.Entry, version uint64, kind decide.ListKind, origin discovery.Origin) {
 	s.version = version
 	applyList(s.entries, entries, kind != decide.ListChanges)
 	for _, p := range s.pools {
 		if kind != decide.ListChanges {
-			s.fill(p)
+			s.fill(p, origin)
 			continue
 		}
-		var changed []entry
+		var changed []discovery.Entry
 		for _, e := range entries {
-			in := states[e.Status] != decide.Gone && p.pool.Selects(e.Name, e.Zone, e.Kind)
+			in := e.State() != decide.Gone && p.pool.Selects(e.Name, e.Zone, e.Kind)
 			if !in && !p.members[e.Name] {
 				continue
 			}
@@ -301,15 +304,15 @@
 			changed = append(changed, e)
 		}
 		if len(changed) > 0 {
-			p.post(func() { p.follow(changed, version, decide.ListChanges) })
+			p.post(func() { p.follow(changed, version, decide.ListChanges, origin) })
 		}
 	}
 }
 
-// fill gives a pool its whole list.
-func (s *Sidecar) fill(p *sidePool) {
+// fill gives a pool its whole list, as a call told it.
+func (s *Sidecar) fill(p *sidePool, origin discovery.Origin) {
 	clear(p.members)
-	var all []entry
+	var all []discovery.Entry
 	for _, e := range s.entries {
 		if p.pool.Selects(e.Name, e.Zone, e.Kind) {
 			all = append(all, e)
@@ -317,7 +320,7 @@
 		}
 	}
 	version := s.version
-	p.post(func() { p.follow(all, version, decide.ListFull) })
+	p.post(func() { p.follow(all, version, decide.ListFull, origin) })
 }
 
 // find chooses for a request and holds its pool until done is called.
--- a/internal/node/stall.go
+++ b/internal/node/stall.go
@@ -84,6 +84,18 @@
 	return g.confirmedAt.Before(g.wokeAt) && now.Sub(g.wokeAt) < mostStallWait
 }
 
+// sleep waits, and tells whether it was left to wait to the end.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // await waits until requests may be sent, and tells whether they may before ctx ends.
 func (g *stallGuard) await(ctx context.Context) bool {
 	for g != nil && g.holds(time.Now()) {
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/discovery"
 )
 
 const (
@@ -22,7 +23,7 @@
 	phase             string
 	reason            string // of the phase, where operators have ordered it
 	listVersion       uint64
-	discoveryAnswered time.Duration // ago; -1: never
+	discovery         discovery.Status
 	servers           int
 	draining          []string // names of servers that are listed as draining
 	openRequests      int
@@ -40,11 +41,13 @@
 // attributes gives the state as attributes of a line of the log.
 func (s nodeState) attributes() []any {
 	var answered any = "never"
-	if s.discoveryAnswered >= 0 {
-		answered = s.discoveryAnswered
+	now := time.Now()
+	if ago := s.discovery.AnsweredAgo(now); ago >= 0 {
+		answered = ago
 	}
 	all := []any{"phase", s.phase, "phase_reason", s.reason, "list_version", s.listVersion, "discovery_answered_ago", answered, "servers", s.servers,
 		"draining", names(s.draining), "open_requests", s.openRequests, "client_connections", s.clientConnections}
+	all = append(all, s.discovery.Attributes(now)...)
 	if len(s.operatorsAt) > 0 {
 		all = append(all, "operators_at", s.operatorsAt)
 	}
@@ -93,7 +96,7 @@
 // stateOnLoop is to be called by the event loop.
 func (n *Node) stateOnLoop() nodeState {
 	front := n.front.status()
-	s := nodeState{phase: front.State, reason: front.Reason, listVersion: n.listVersion, discoveryAnswered: n.discovery.answeredAgo(),
+	s := nodeState{phase: front.State, reason: front.Reason, listVersion: n.listVersion, discovery: n.discovery.Status(),
 		servers: len(n.entries), openRequests: len(n.requests), clientConnections: front.Connections,
 		calls: n.calls.summary()}
 	s.unknownNames, s.unknownKinds = n.cfg.unknownNames()
@@ -101,7 +104,7 @@
 		s.operatorsAt, s.notAt = n.listeners.At(), n.listeners.NotAt()
 	}
 	for name, e := range n.entries {
-		if states[e.Status] == decide.Draining {
+		if e.State() == decide.Draining {
 			s.draining = append(s.draining, name)
 		}
 	}
--- a/internal/testnet/testnet.go
+++ b/internal/testnet/testnet.go
@@ -71,3 +71,14 @@
 		}
 	}
 }
+
+// Receive waits for a value, and fails if none comes in time.
+func Receive[T any](t testing.TB, most time.Duration, c <-chan T, what string) (v T) {
+	t.Helper()
+	select {
+	case v = <-c:
+	case <-time.After(most):
+		t.Fatal("waited in vain for " + what)
+	}
+	return v
+}
