Wait half of the grace for the list to be confirmed after the process stood still

Callers saw: after a pause of 3 s in which a server began to drain, requests to that server 0.3 s after the process went on, where the agent took 0.9 s for its answer.

Cause: after a pause nothing is sent until a call that began since then is answered, but for 0.3 s at most, whatever the grace.

Change: half of the grace, which an answer may take, and 0.3 s at least. An agent that is down just then holds requests up for as long.

--- a/internal/node/stall.go
+++ b/internal/node/stall.go
@@ -11,20 +11,22 @@
 const (
 	// After a stand of half the grace the list is confirmed before anything is
 	// sent. After a shorter one it is read well before the grace is over.
-	stallPart     = 2
-	leastStall    = 50 * time.Millisecond  // a busy machine has a process wait for so long
-	stallTicks    = 2                      // looks in that time: each costs the processor
-	mostStallWait = 300 * time.Millisecond // for the list to be confirmed; an agent that is silent just then can't
-	stallCheck    = time.Millisecond       // how often a request looks that waits for that
+	stallPart      = 2
+	leastStall     = 50 * time.Millisecond // a busy machine has a process wait for so long
+	stallTicks     = 2                     // looks in that time: each costs the processor
+	confirmPart    = 2                     // of the grace, one is waited for the list to be confirmed; an agent that is silent just then can't
+	leastStallWait = 300 * time.Millisecond
+	stallCheck     = time.Millisecond // how often a request looks that waits for that
 )
 
 // stallGuard keeps a process that stood still from acting on what it knew
 // before: what its local agent got meanwhile counts as known to it. After a
 // stand nothing is sent until a call to the agent that began since then has
-// ended and its list is taken up, or mostStallWait is over. A nil guard never
-// holds anything up. It is safe for concurrent use.
+// been answered and its list is taken up, or the time for that is over. A nil guard
+// never holds anything up. It is safe for concurrent use.
 type stallGuard struct {
 	limit time.Duration // longer than this is a stand
+	most  time.Duration // is waited for the list to be confirmed
 	woke  func()        // called after a stand; must not block
 
 	// passed is the time since some moment, also while the machine slept.
@@ -38,7 +40,7 @@
 }
 
 func newStallGuard(grace time.Duration, woke func()) *stallGuard {
-	return &stallGuard{limit: max(grace/stallPart, leastStall), woke: woke, passed: clock.SinceBoot, ticked: time.Now(), passedThen: clock.SinceBoot()}
+	return &stallGuard{limit: max(grace/stallPart, leastStall), most: max(grace/confirmPart, leastStallWait), woke: woke, passed: clock.SinceBoot, ticked: time.Now(), passedThen: clock.SinceBoot()}
 }
 
 // run looks for stands until ctx ends.
@@ -81,7 +83,7 @@
 	g.stood(now) // whoever looks for stands may not have run yet
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.confirmedAt.Before(g.wokeAt) && now.Sub(g.wokeAt) < mostStallWait
+	return g.confirmedAt.Before(g.wokeAt) && now.Sub(g.wokeAt) < g.most
 }
 
 // sleep waits, and tells whether it was left to wait to the end.
