Log what calls to discovery came to, and count the lines of requests left out

Change: a line for each call that is not answered (number, what it asked, how far it came, bytes, error), five a second of a kind; one line once discovery has not been heard for a grace, and one when it is again; in each state line meanwhile since when, calls open, how long the oldest has owed its answer, what the last five came to, and how old the list is at most. "servers changed" names the call that told it and when that began. An attempt that ends at a server that drains or left tells since when.

--- a/internal/discovery/answers_test.go
+++ b/internal/discovery/answers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -149,3 +150,52 @@
 		}
 	}
 }
+
+// TestSilenceIsTold guards against a log and state lines that do not tell that discovery is not heard, what became of its calls and how old the list is.
+func TestSilenceIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		agent, record := newFakeAgent(), &recorded{}
+		f := NewFollower("agent:1", Agent, PlanTimes(Agent, testGrace), 0, quiet, record, Sink{List: func(List) {}})
+		f.caller = newCallerBy("agent:1", agent.dial, func(string) {})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan bool)
+		go func() { f.Follow(ctx); close(ended) }()
+		time.Sleep(testGrace)
+		if s := f.Status(); s.Attributes(time.Now()) != nil || s.Version != 1 || s.AnsweredAgo(time.Now()) > testGrace {
+			t.Errorf("while it is heard: %+v", s)
+		}
+		agent.behave(standin.Manner{End: standin.Reset}, standin.Manner{End: standin.Unavailable}, standin.Manner{End: standin.CutInBody}, standin.Manner{End: standin.Silent})
+		agent.awaitCall()
+		time.Sleep(3 * testGrace)
+		said := fmt.Sprint(f.Status().Attributes(time.Now())...)
+		for _, want := range []string{"discovery_unheard_for", "discovery_calls_open", "discovery_oldest_call_waits", "discovery_last_calls", "list_is_as_of_ago"} {
+			if !strings.Contains(said, want) {
+				t.Errorf("the state does not tell %s: %s", want, said)
+			}
+		}
+		if s := f.Status(); s.Open < 3 || s.AnsweredAgo(time.Now()) < 3*testGrace {
+			t.Errorf("while it is silent: %+v", s)
+		}
+		if lines := record.with("discovery has not been heard"); len(lines) != 1 {
+			t.Errorf("the log tells %d times that discovery is not heard, want once: %q", len(lines), lines)
+		}
+		agent.behave(standin.Manner{})
+		time.Sleep(testGrace)
+		for reason, count := range map[string]int{EventCall + " reset": 1, EventCall + " unavailable": 1, EventCall + " cut": 1, eventTold + " heard_again": 1} {
+			if lines := record.with(reason + " "); len(lines) != count {
+				t.Errorf("%d lines tell %s, want %d: %q", len(lines), reason, count, lines)
+			}
+		}
+		if lines := record.with("silent"); len(lines) < 3 || !strings.Contains(lines[0], "came_to waiting") || !strings.Contains(lines[0], "asked from 1") {
+			t.Errorf("what calls came to that fell silent: %q", lines)
+		}
+		if s := f.Status(); s.Attributes(time.Now()) != nil {
+			t.Errorf("once it is heard again: %+v", s)
+		}
+		cancel()
+		<-ended
+		f.End()
+		agent.server.Close()
+		synctest.Wait()
+	})
+}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -112,6 +112,21 @@
 	return true, suppressed
 }
 
+// Suppressed is how many events of each kind did not pass and have not been told of
+// yet. They count as told then.
+func (l *Limiter) Suppressed() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := map[string]int{}
+	for kind, w := range l.kinds {
+		if w.suppressed > 0 {
+			all[kind] = w.suppressed
+			w.suppressed = 0
+		}
+	}
+	return all
+}
+
 // maxShortened is how many bytes of what others say stand in a line.
 const maxShortened = 200
 
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -60,4 +60,10 @@
 			t.Errorf("event %d: %v, %d suppressed, want %v, %d", i, passes, suppressed, c.passes, c.suppressed)
 		}
 	}
+	if all := l.Suppressed(); len(all) != 1 || all["a"] != 1 {
+		t.Errorf("suppressed are %v, want one of a", all)
+	}
+	if passes, suppressed := l.Allow("a", zero.Add(2*time.Second)); !passes || suppressed != 0 || len(l.Suppressed()) != 0 {
+		t.Errorf("what was told of is told again: %v, %d", passes, suppressed)
+	}
 }
--- a/internal/node/listlog.go
+++ b/internal/node/listlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -111,6 +112,29 @@
 	}
 }
 
+// departureTime is for how long it is remembered that a server has left.
+const departureTime = time.Minute
+
+// departures are since when servers are known to drain, or to have left.
+type departures map[string]time.Time
+
+// note takes up what a list changes.
+func (d departures) note(c listChange, now time.Time) {
+	for _, names := range [][]string{c.added, c.restarted, c.ready} {
+		for _, name := range names {
+			delete(d, name)
+		}
+	}
+	for _, names := range [][]string{c.draining, c.removed} {
+		for _, name := range names {
+			if _, known := d[name]; !known {
+				d[name] = now
+			}
+		}
+	}
+	maps.DeleteFunc(d, func(_ string, since time.Time) bool { return now.Sub(since) > departureTime })
+}
+
 var listKinds = map[decide.ListKind]string{decide.ListChanges: "changes", decide.ListFull: "full", decide.ListCached: "cached"}
 
 // noteList logs what a list changes, before it is taken up, and counts lists.
@@ -119,6 +143,7 @@
 	n.listVersion = version
 	change := compareLists(n.entries, entries, kind != decide.ListChanges)
 	applyList(n.entries, entries, kind != decide.ListChanges)
+	n.notReady.note(change, time.Now())
 	if !change.empty() {
 		args := append([]any{"version", version, "servers", len(n.entries)}, change.args()...)
 		if origin.Call > 0 {
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"maps"
 	"os"
 	"slices"
 	"syscall"
@@ -37,6 +39,7 @@
 	linesPerSecond = 5                // of one event and reason in the log; the rest is counted
 	namesInLine    = 10               // servers named in one line of the log
 	summaryEvery   = 10 * time.Second // counters go to the log so often, if there is news
+	suppressEvery  = time.Second      // and what lines were left out
 )
 
 // observer counts and logs what happens in a node, so that a failure can be
@@ -102,8 +105,21 @@
 	o.note(slog.LevelError, "rule violated", eventViolation, string(v), args...)
 }
 
+// tellSuppressed logs how many lines of each kind were left out, if there were any.
+func (o *observer) tellSuppressed() {
+	kinds := o.limiter.Suppressed()
+	if len(kinds) == 0 {
+		return
+	}
+	var all []string
+	for _, kind := range slices.Sorted(maps.Keys(kinds)) {
+		all = append(all, fmt.Sprintf("%s=%d", kind, kinds[kind]))
+	}
+	o.log.Info("lines left out", "of", all)
+}
+
 // summarize logs all counters until done is closed, whenever they have changed,
-// and once more then.
+// and once more then; and what lines were left out.
 func (o *observer) summarize(done <-chan struct{}) {
 	var logged []metrics.Sample
 	log := func() {
@@ -114,13 +130,17 @@
 		logged = samples
 		o.log.Info("counters", "since_start", samples)
 	}
-	ticker := time.NewTicker(summaryEvery)
+	ticker, second := time.NewTicker(summaryEvery), time.NewTicker(suppressEvery)
 	defer ticker.Stop()
+	defer second.Stop()
 	for {
 		select {
 		case <-ticker.C:
 			log()
+		case <-second.C:
+			o.tellSuppressed()
 		case <-done:
+			o.tellSuppressed()
 			log()
 			return
 		}
--- a/internal/node/observer_test.go
+++ b/internal/node/observer_test.go
@@ -1,12 +1,16 @@
 package node
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"indigotack/decide"
 	"indigotack/internal/discovery"
@@ -59,3 +63,60 @@
 		}
 	}
 }
+
+// TestLinesThatAreLeftOutAreCounted guards against a log that is full of single requests and tells nothing of how many there were.
+func TestLinesThatAreLeftOutAreCounted(t *testing.T) {
+	log := &standin.LogBuffer{}
+	o := newObserver(slog.New(slog.NewTextHandler(log, nil)))
+	for range 100 {
+		o.note(slog.LevelInfo, "request answered without a server", eventRequest, "refused_shed")
+	}
+	done := make(chan struct{})
+	close(done)
+	o.summarize(done)
+	if lines := strings.Count(log.String(), "request answered"); lines != linesPerSecond {
+		t.Errorf("%d lines of one kind, want %d", lines, linesPerSecond)
+	}
+	if want := fmt.Sprintf(`msg="lines left out" of="[requests/refused_shed=%d]"`, 100-linesPerSecond); !strings.Contains(log.String(), want) {
+		t.Errorf("the log does not say %s:\n%s", want, log)
+	}
+}
+
+// TestLogTellsSinceWhenAServerIsNotReady: beside an attempt at it, whether it fails or not.
+func TestLogTellsSinceWhenAServerIsNotReady(t *testing.T) {
+	for _, served := range []bool{true, false} {
+		log := &standin.LogBuffer{}
+		got, goOn := make(chan bool, 100), make(chan bool)
+		address := backendServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			if readRequest(r) == nil {
+				return
+			}
+			got <- true
+			<-goOn
+			if served {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			}
+		})
+		n := startNode(t, address)
+		n.onLoop(t, func() { n.observer.log = slog.New(slog.NewTextHandler(log, nil)) })
+		ended := make(chan bool)
+		go func() {
+			defer close(ended)
+			if resp, err := http.DefaultClient.Do(n.request(t, "GET", "saldo", "the-id", "1", nil)); err == nil {
+				resp.Body.Close()
+			}
+		}()
+		wait(t, got, "the request")
+		n.onLoop(t, func() {
+			n.follow([]discovery.Entry{{Name: "s-0", Address: address, Zone: "a", Kind: "m2", Status: "draining", Weight: 1}}, 2, decide.ListChanges,
+				discovery.Origin{Call: 7, Began: time.Now().Add(-time.Second)})
+		})
+		close(goOn)
+		wait(t, ended, "the request's end")
+		for _, want := range []string{"not_ready_for=", "call=7", "call_began_ago=1."} {
+			if !strings.Contains(log.String(), want) {
+				t.Errorf("the log does not say %s:\n%s", want, log)
+			}
+		}
+	}
+}
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -40,6 +40,7 @@
 	listed      map[string]decide.ServerID
 	entries     map[string]discovery.Entry // as listed last
 	listVersion uint64                     // of that list
+	notReady    departures
 	startTimes  startTimes
 	requests    map[decide.RequestID]*request
 	queue       []decide.Event // that came of actions, to be handled next
@@ -65,6 +66,7 @@
 // sent is an attempt as its owner sees it.
 type sent struct {
 	cancel context.CancelFunc
+	server string
 	at     time.Time
 	code   decide.OutcomeCode // how it ended; that of an answer while it is out, as it may run
 }
@@ -92,7 +94,7 @@
 func newOwner(s decide.Settings, seed int64, sockets int, o *observer) *owner {
 	return &owner{observer: o, start: time.Now(), wall: time.Duration(clock.Wall().UnixNano()), events: make(chan func(), eventQueueSize), ended: make(chan struct{}),
 		backends: newPool(s, sockets, o), listChanged: func(int) {}, set: s, module: decide.New(s, seed), ids: newIDs(),
-		listed: map[string]decide.ServerID{}, entries: map[string]discovery.Entry{}, startTimes: newStartTimes(), requests: map[decide.RequestID]*request{}}
+		listed: map[string]decide.ServerID{}, entries: map[string]discovery.Entry{}, notReady: departures{}, startTimes: newStartTimes(), requests: map[decide.RequestID]*request{}}
 }
 
 // run starts the loop. It goes on after ctx has ended, until stop is called.
@@ -326,7 +328,7 @@
 	}
 	repeatBy := r.repeatBy()
 	ctx, cancel := context.WithDeadline(n.ctx, end)
-	r.attempts = append(r.attempts, sent{cancel: cancel, at: now})
+	r.attempts = append(r.attempts, sent{cancel: cancel, server: n.ids.byID[a.Server], at: now})
 	if denial != lifecycle.Allowed {
 		cancel()
 		n.deny(r, number, a.Server, denial)
@@ -334,7 +336,7 @@
 	}
 	r.running++
 	if number > 0 {
-		n.note(slog.LevelInfo, "request sent again", eventRetry, r.attempts[number-1].code.String(), "id", r.id, "attempt", number, "server", n.ids.byID[a.Server])
+		n.note(slog.LevelInfo, "request sent again", eventRetry, r.attempts[number-1].code.String(), "id", r.id, "attempt", number, "server", r.attempts[number].server)
 	}
 	server := instead(n, a.Server)
 	go func() {
@@ -348,7 +350,7 @@
 
 // deny has the module know that an attempt was not sent, as it may not be.
 func (n *owner) deny(r *request, number int, server decide.ServerID, denial lifecycle.Denial) {
-	n.note(slog.LevelInfo, "attempt denied", eventDenial, string(denial), "id", r.id, "attempt", number, "server", n.ids.byID[server])
+	n.note(slog.LevelInfo, "attempt denied", eventDenial, string(denial), "id", r.id, "attempt", number, "server", r.attempts[number].server)
 	r.attempts[number].code = decide.Superseded
 	n.queue = append(n.queue, decide.AttemptEnded{ID: r.id, Attempt: number, Server: server, Over: r.done, Code: decide.Superseded})
 }
@@ -391,7 +393,7 @@
 		res.code = decide.Cancelled // by this node, which says nothing about the server
 	}
 	r.attempts[number].code = res.code
-	n.noteAttempt(r, number, server, took, res)
+	n.noteAttempt(r, number, took, res)
 	served := answer{status: res.status, served: true, header: res.header, body: res.body}
 	switch {
 	case res.code == decide.OK:
@@ -407,13 +409,23 @@
 	n.forget(r)
 }
 
-func (n *owner) noteAttempt(r *request, number int, server decide.ServerID, took time.Duration, res result) {
-	if res.code == decide.OK {
+// noteAttempt counts an attempt, and logs it if it failed or ended at a server that
+// was no longer ready, with since when.
+func (n *owner) noteAttempt(r *request, number int, took time.Duration, res result) {
+	server := r.attempts[number].server
+	args := []any{"id", r.id, "attempt", number, "server", server, "after", took}
+	since, departed := n.notReady[server]
+	if departed {
+		args = append(args, "not_ready_for", time.Since(since))
+	}
+	switch {
+	case res.code != decide.OK:
+		n.note(slog.LevelInfo, "attempt failed", eventAttempt, res.code.String(), append(args, "err", res.err)...)
+	case departed:
+		n.note(slog.LevelInfo, "attempt ended at a server that drains or left", eventAttempt, res.code.String(), args...)
+	default:
 		n.count(eventAttempt, res.code.String())
-		return
 	}
-	n.note(slog.LevelInfo, "attempt failed", eventAttempt, res.code.String(),
-		"id", r.id, "attempt", number, "server", n.ids.byID[server], "after", took, "err", res.err)
 }
 
 // follow takes a list of servers, as a call told it: addresses for the sockets, the
--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -84,3 +85,17 @@
 		}
 	}
 }
+
+// TestStateLineTellsThatDiscoveryIsNotHeard guards against state lines that are silent on a discovery that is.
+func TestStateLineTellsThatDiscoveryIsNotHeard(t *testing.T) {
+	now := time.Now()
+	for _, unheard := range []bool{false, true} {
+		s := nodeState{discovery: discovery.Status{Version: 7, Unheard: unheard, Since: now, Open: 3, OwedFrom: now, AsOf: now, Last: []string{"reset", "silent"}}}
+		said := fmt.Sprint(s.attributes()...)
+		for _, name := range []string{"discovery_unheard_for", "discovery_calls_open", "discovery_oldest_call_waits", "discovery_last_calls", "list_is_as_of_ago"} {
+			if strings.Contains(said, name) != unheard {
+				t.Errorf("unheard %v: %s", unheard, said)
+			}
+		}
+	}
+}
