--- a/internal/discovery/answers_test.go
+++ b/internal/discovery/answers_test.go
@@ -207,6 +207,9 @@
 				t.Errorf("the state does not tell %s: %s", want, said)
 			}
 		}
+		if lines := record.with("a call to discovery was not answered"); len(lines) < firstLines || len(lines) > firstLines+int(3*testGrace/lineEvery) {
+			t.Errorf("%d lines tell of calls that were not answered: %q", len(lines), lines)
+		}
 		if s := f.Status(); s.Open < 3 || s.AnsweredAgo(time.Now()) < 3*testGrace {
 			t.Errorf("while it is silent: %+v", s)
 		}
--- a/internal/discovery/status.go
+++ b/internal/discovery/status.go
@@ -8,8 +8,11 @@
 	"time"
 )
 
-// maxOutcomes is how many of the last calls a Status tells.
-const maxOutcomes = 5
+const (
+	maxOutcomes = 5           // of the last calls that a Status tells
+	firstLines  = 5           // of calls that were not answered, since one was
+	lineEvery   = time.Second // of further ones
+)
 
 // Status is what a follower knows of its discovery at some moment.
 type Status struct {
@@ -76,6 +79,8 @@
 	asOf     time.Time
 	told     bool
 	last     []string
+	lines    int       // of calls that were not answered, since one was
+	lineAt   time.Time // of the last of them
 }
 
 func newQuietWatch(limit time.Duration, now time.Time) *quietWatch {
@@ -97,13 +102,22 @@
 // that was told.
 func (q *quietWatch) heard(c Call, now time.Time) (gap time.Duration, wasQuiet bool) {
 	gap, wasQuiet = now.Sub(q.from), q.told
-	q.from, q.answered, q.told = now, now, false
+	q.from, q.answered, q.told, q.lines = now, now, false, 0
 	if c.Began.After(q.asOf) {
 		q.asOf = c.Began
 	}
 	return gap, wasQuiet
 }
 
+// hasLine tells whether a call that was not answered gets a line of its own in the log.
+func (q *quietWatch) hasLine(now time.Time) bool {
+	if q.lines >= firstLines && now.Sub(q.lineAt) < lineEvery {
+		return false
+	}
+	q.lines, q.lineAt = q.lines+1, now
+	return true
+}
+
 // state is what is known at a time.
 func (l *loop) state(now time.Time) Status {
 	s := Status{Version: l.versions.index, AsOf: l.quiet.asOf, Answered: l.quiet.answered, Open: len(l.schedule.open),
@@ -141,7 +155,7 @@
 		if gap, wasQuiet := l.quiet.heard(e.call, now); wasQuiet {
 			l.recorder.Note(slog.LevelInfo, "discovery is heard again", eventTold, "heard_again", "after", gap, "call", e.call.Number, "call_began_ago", now.Sub(e.call.Began))
 		}
-	case name == "superseded":
+	case name == "superseded", !l.quiet.hasLine(now):
 		l.recorder.Count(EventCall, name)
 	default:
 		l.recorder.Note(slog.LevelWarn, "a call to discovery was not answered", EventCall, name, "call", e.call.Number, "asked", e.call.asked(),
