--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -3,10 +3,11 @@
 // able to have one that does. Where INDIGOTACK_CLOCK_OFFSET holds a time such as
 // "-1h" or "90s", all wall times that the program reads are off by it; where
 // INDIGOTACK_CLOCK_FILE names a file, by the time that the file holds just then.
-// Times that pass are not: they come from the monotonic clock.
+// Times that pass are not: they come from the monotonic clock, by which Sleep waits.
 package clock
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"strings"
@@ -84,3 +85,15 @@
 	}
 	return time.Duration(t.Nano())
 }
+
+// Sleep waits for a time that passes, and tells whether it was left to wait to the end.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"indigotack/decide"
+	"indigotack/internal/clock"
 	"indigotack/internal/connect"
 	"indigotack/internal/lifecycle"
 	"indigotack/internal/neterr"
@@ -179,7 +180,7 @@
 
 // run expires idle connections until ctx ends.
 func (p *pool) run(ctx context.Context) {
-	for sleep(ctx, max(p.maxIdle/8, 50*time.Millisecond)) {
+	for clock.Sleep(ctx, max(p.maxIdle/8, 50*time.Millisecond)) {
 		p.expire(time.Now())
 	}
 }
@@ -226,7 +227,7 @@
 		if neterr.OutOfDescriptors(err) {
 			p.freeDescriptor()
 		}
-		if !sleep(ctx, wait) {
+		if !clock.Sleep(ctx, wait) {
 			return nil, err
 		}
 	}
--- a/internal/node/datagrams.go
+++ b/internal/node/datagrams.go
@@ -5,6 +5,8 @@
 	"context"
 	"net"
 	"time"
+
+	"indigotack/internal/clock"
 )
 
 // maxDatagram is more than a datagram between nodes of a platform may have.
@@ -27,7 +29,7 @@
 		case ctx.Err() != nil:
 			return
 		case err != nil: // of this machine, or of a datagram before
-			if !sleep(ctx, mostAcceptWait) {
+			if !clock.Sleep(ctx, mostAcceptWait) {
 				return
 			}
 		default:
@@ -56,7 +58,7 @@
 		case ctx.Err() != nil:
 			return
 		case err != nil: // of this machine, or of a connection before
-			if !sleep(ctx, mostAcceptWait) {
+			if !clock.Sleep(ctx, mostAcceptWait) {
 				return
 			}
 		default:
--- a/internal/node/stall.go
+++ b/internal/node/stall.go
@@ -45,7 +45,7 @@
 
 // run looks for stands until ctx ends.
 func (g *stallGuard) run(ctx context.Context) {
-	for sleep(ctx, g.limit/stallTicks) {
+	for clock.Sleep(ctx, g.limit/stallTicks) {
 		g.stood(time.Now())
 	}
 }
@@ -86,22 +86,10 @@
 	return g.confirmedAt.Before(g.wokeAt) && now.Sub(g.wokeAt) < g.most
 }
 
-// sleep waits, and tells whether it was left to wait to the end.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // await waits until requests may be sent, and tells whether they may before ctx ends.
 func (g *stallGuard) await(ctx context.Context) bool {
 	for g != nil && g.holds(time.Now()) {
-		if !sleep(ctx, stallCheck) {
+		if !clock.Sleep(ctx, stallCheck) {
 			return false
 		}
 	}
--- a/internal/operators/listeners.go
+++ b/internal/operators/listeners.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"indigotack/internal/clock"
 )
 
 const (
@@ -203,7 +205,7 @@
 			if e.mayVisit && taken(err) {
 				e.visitor.start(ctx, &background, e)
 			}
-			pause(ctx, wait)
+			clock.Sleep(ctx, wait)
 			continue
 		}
 		e.visitor.stop()
@@ -246,7 +248,7 @@
 
 // hear has operators served until the address is given up, or its file is gone.
 func (e *entry) hear(ctx context.Context, ln *listener, srv *http.Server, background *sync.WaitGroup) {
-	for pause(ctx, lookEvery) && ln.isThere() {
+	for clock.Sleep(ctx, lookEvery) && ln.isThere() {
 	}
 	e.noteHeard(false, "its socket's file is gone")
 	if ctx.Err() != nil {
@@ -267,13 +269,3 @@
 		srv.Close()
 	}
 }
-
-// pause waits, and tells whether it was left to wait to the end.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/operators/visitor.go
+++ b/internal/operators/visitor.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"indigotack/internal/clock"
 	"indigotack/internal/neterr"
 )
 
@@ -45,7 +46,7 @@
 	}
 	ctx, v.end = context.WithCancel(ctx)
 	running.Go(func() {
-		for wait := firstVisit; pause(ctx, wait); {
+		for wait := firstVisit; clock.Sleep(ctx, wait); {
 			wait = v.visit(ctx, e)
 		}
 	})
--- a/internal/standin/manner.go
+++ b/internal/standin/manner.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"indigotack/internal/clock"
 )
 
 // Ending is how an agent's answer to one call ends, other than whole.
@@ -42,7 +44,7 @@
 // whether all of it was written. What stops comes back when the caller has gone.
 func (m Manner) Answer(w http.ResponseWriter, r *http.Request, began time.Time, list []byte) (whole bool) {
 	ctx := r.Context()
-	if !await(ctx, time.Until(began.Add(m.After))) {
+	if !clock.Sleep(ctx, time.Until(began.Add(m.After))) {
 		return false
 	}
 	switch m.End {
@@ -53,7 +55,7 @@
 		flush(w)
 		<-ctx.Done()
 	case Trickles:
-		for await(ctx, trickleEvery) && write(w, []byte(" ")) {
+		for clock.Sleep(ctx, trickleEvery) && write(w, []byte(" ")) {
 		}
 	case Reset:
 		panic(http.ErrAbortHandler)
@@ -79,7 +81,7 @@
 	size := max(1, (len(list)+answerParts-1)/answerParts)
 	for len(list) > 0 {
 		n := min(size, len(list))
-		if !write(w, list[:n]) || !await(ctx, m.Over/answerParts) {
+		if !write(w, list[:n]) || !clock.Sleep(ctx, m.Over/answerParts) {
 			return false
 		}
 		list = list[n:]
@@ -93,15 +95,3 @@
 }
 
 func flush(w http.ResponseWriter) bool { return http.NewResponseController(w).Flush() == nil }
-
-// await waits, and tells whether it was left to wait to the end.
-func await(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
