Play agents that answer late, in parts or not in the rig, and forgive drains nothing they had before

Change: fault `answers` (after, over, end, calls), drawn by soaks in three of four plans with a source of its own, beside drains in front of its end, within it or behind it; no answer that comes takes more than half of the grace. plans/fleet/late-answers.toml, with a node built to give up calls.

The checker of drains took off a whole grace before a link to an agent broke, and so forgave what the agent had told before. What a node can't reach still counts from the return ("is silent and learns nothing; what it gets at the return counts at once").

--- a/internal/rig/check.go
+++ b/internal/rig/check.go
@@ -78,6 +78,7 @@
 	listings map[string][]toldStatus // by server: what discovery had of it
 	moves    map[string][]span       // by node: from when its discovery moved to when what it has there counts
 	torn     []span                  // in which no list came whole
+	unheard  map[string][]span       // by node: in which its agent answered no call
 }
 
 // Untimed tells whether the rig ran so late that nothing is judged by time.
--- a/internal/rig/check_servers.go
+++ b/internal/rig/check_servers.go
@@ -79,10 +79,10 @@
 
 // agentHad is since when a platform's node counts as notified of a server's
 // state because its local agent had it, however its watch did; 0: not by that. An
-// agent that is out of reach has what it learns when it is back, also where its
-// link breaks while the node may still be hearing of it, which is for the grace. A
-// node that starts is told by what its agent has then, and one whose agent moves
-// has time for that.
+// agent that is out of reach, or answers nothing, learns nothing, and has what it
+// gets when it is back from then on; what it had before counts as before. A node
+// that starts is told by what its agent has then, and one whose agent moves has
+// time for that.
 func (h *History) agentHad(node, server string, at int64) int64 {
 	if !h.Plan.Platform {
 		return 0
@@ -92,11 +92,7 @@
 		return 0
 	}
 	since = max(since, h.runsSince(node, at))
-	out := slices.Concat(h.torn, h.restarts(node), h.moves[node])
-	for _, s := range h.wrong[[2]string{node, Discovery}] {
-		s.from -= int64(h.Plan.Servers.DrainGrace)
-		out = append(out, s)
-	}
+	out := slices.Concat(h.torn, h.restarts(node), h.moves[node], h.unheard[node], h.wrong[[2]string{node, Discovery}])
 	for moved := true; moved; {
 		moved = false
 		for _, s := range out {
--- a/internal/rig/check_test.go
+++ b/internal/rig/check_test.go
@@ -30,7 +30,7 @@
 		for i, line := range strings.Split(strings.TrimSpace(body), "\n") {
 			switch line, found := strings.CutPrefix(line, "fault "); {
 			case found:
-				q, err := ParsePlan(name, []byte("[fleet]\nzones = [\"a\", \"b\"]\n[[fault]]\n"+strings.ReplaceAll(line, "; ", "\n")))
+				q, err := ParsePlan(name, []byte(fmt.Sprintf("[fleet]\nplatform = %v\nzones = [\"a\", \"b\"]\n[[fault]]\n", p.Platform)+strings.ReplaceAll(line, "; ", "\n")))
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/internal/rig/evidence.go
+++ b/internal/rig/evidence.go
@@ -62,7 +62,7 @@
 // newHistory puts events together.
 func newHistory(p *Plan, events []Event) *History {
 	h := &History{Plan: p, Events: events, end: forever, quiet: forever, requests: map[string]*requestLog{}, away: map[string][]span{}, stands: map[string][]span{},
-		starved: map[string][]span{}, wrong: map[[2]string][]span{}, missed: map[string][]int64{}, belated: map[string]time.Duration{}, crowds: map[string][]span{}, busy: map[int]bool{}, told: map[[2]string][]toldStatus{}, views: map[string][]viewLog{}, listings: map[string][]toldStatus{}, moves: map[string][]span{}}
+		starved: map[string][]span{}, wrong: map[[2]string][]span{}, missed: map[string][]int64{}, belated: map[string]time.Duration{}, crowds: map[string][]span{}, busy: map[int]bool{}, told: map[[2]string][]toldStatus{}, views: map[string][]viewLog{}, listings: map[string][]toldStatus{}, moves: map[string][]span{}, unheard: map[string][]span{}}
 	classes := map[string]*Class{}
 	for i := range p.Classes {
 		classes[p.Classes[i].Name] = &p.Classes[i]
@@ -205,6 +205,12 @@
 		for _, name := range s.Targets {
 			h.crowds[name] = append(h.crowds[name], span{from: from, to: to})
 		}
+	case FaultAnswers:
+		if s.Fault.Answers.never() {
+			for _, name := range s.Targets {
+				h.unheard[name] = append(h.unheard[name], span{from: from, to: to})
+			}
+		}
 	case FaultTorn:
 		h.torn = append(h.torn, span{from: from, to: to})
 	case FaultStarve:
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -202,6 +202,8 @@
 		n.reload()
 	case FaultMove:
 		n.moveDiscovery()
+	case FaultAnswers:
+		f.registry.behave(n.i, fault.Answers, over)
 	case FaultClock:
 		n.mu.Lock()
 		if n.offset = fault.Offset; over {
--- a/internal/rig/network.go
+++ b/internal/rig/network.go
@@ -237,6 +237,17 @@
 	}
 }
 
+// behave has a node's agent answer calls in a manner, or as before.
+func (r *registry) behave(node int, answers Answers, over bool) {
+	for _, front := range r.fronts[node] {
+		if over {
+			front.Behave(nil)
+		} else {
+			front.Behave(answers.manner)
+		}
+	}
+}
+
 func (r *registry) close() error {
 	for _, fronts := range r.fronts {
 		for _, f := range fronts {
--- a/internal/rig/plan.go
+++ b/internal/rig/plan.go
@@ -110,10 +110,11 @@
 	FaultSilent    = "silent"    // the watches that are open at discovery are never answered; new ones are
 	FaultStep      = "step"      // a node's wall clock steps by Offset while it runs, and back after the duration
 	FaultCrowd     = "crowd"     // clients hold so many connections to a node and send nothing, or half a request
+	FaultAnswers   = "answers"   // a node's agent answers calls late, in parts or not at all, as Answers says
 	FaultQuiesce   = "quiesce"   // operators tell a node to drain, and to resume after the duration
 )
 
-var faultWords = []string{FaultLink, FaultPartition, FaultKill, FaultTerm, FaultStop, FaultStarve, FaultClock, FaultReload, FaultMove, FaultSlow, FaultFail, FaultHang, FaultDrain, FaultTorn, FaultSilent, FaultStep, FaultCrowd, FaultQuiesce}
+var faultWords = []string{FaultLink, FaultPartition, FaultKill, FaultTerm, FaultStop, FaultStarve, FaultClock, FaultReload, FaultMove, FaultSlow, FaultFail, FaultHang, FaultDrain, FaultTorn, FaultSilent, FaultStep, FaultCrowd, FaultAnswers, FaultQuiesce}
 
 // Fault is one thing that goes wrong.
 type Fault struct {
@@ -128,11 +129,12 @@
 	Part    float64  // of them, drawn; or of a failing server's answers
 	Factor  float64
 	Offset  time.Duration
-	Back    bool   // drain: the server is listed as ready after the duration, and goes on
-	Kill    bool   // term: SIGKILL as early as a platform may send it
-	Series  bool   // term: SIGHUP and a second SIGTERM come with it, before it and after
-	Number  int    // crowd: connections
-	Dealt   bool   // quiesce: clients are sent to the node all the same
+	Back    bool // drain: the server is listed as ready after the duration, and goes on
+	Kill    bool // term: SIGKILL as early as a platform may send it
+	Series  bool // term: SIGHUP and a second SIGTERM come with it, before it and after
+	Number  int  // crowd: connections
+	Dealt   bool // quiesce: clients are sent to the node all the same
+	Answers Answers
 	State   string // what a node finds in its state folder when it starts again
 
 	Between [2]string // links: names or patterns of both ends
--- a/internal/rig/planformat.go
+++ b/internal/rig/planformat.go
@@ -129,6 +129,8 @@
 		set("offset", f.Offset)
 	case FaultCrowd:
 		set("connections", f.Number)
+	case FaultAnswers:
+		f.Answers.format(set)
 	case FaultKill, FaultTerm:
 		set("state", f.State)
 	}
--- a/internal/rig/planread.go
+++ b/internal/rig/planread.go
@@ -195,7 +195,7 @@
 	f.Targets = s.Strings("targets")
 	allowed, what := func(end string) bool { return isNode(end) || isServer(end) }, "nodes or servers"
 	switch f.What {
-	case FaultTerm, FaultStarve, FaultClock, FaultReload, FaultMove, FaultStep, FaultCrowd, FaultQuiesce:
+	case FaultTerm, FaultStarve, FaultClock, FaultReload, FaultMove, FaultStep, FaultCrowd, FaultAnswers, FaultQuiesce:
 		allowed, what = isNode, "nodes"
 	case FaultSlow, FaultFail, FaultHang, FaultDrain:
 		allowed, what = isServer, "servers"
@@ -217,6 +217,8 @@
 		f.Offset = s.Duration("offset", time.Hour, -24*time.Hour, 24*time.Hour)
 	case FaultCrowd:
 		f.Number = s.Int("connections", 200, 1, maxCrowd)
+	case FaultAnswers:
+		f.Answers = readAnswers(s)
 	case FaultQuiesce:
 		f.Dealt = s.Bool("dealt", false)
 	case FaultKill, FaultTerm:
@@ -228,13 +230,13 @@
 	if f.What == FaultDrain {
 		f.Back = s.Bool("back", false)
 	}
-	if f.What == FaultMove && !p.Platform {
+	if (f.What == FaultMove || f.What == FaultAnswers) && !p.Platform {
 		s.Bad("what", "fleet.platform = true, where a local agent has the list")
 	}
 	if f.What != FaultFail && s.Has("part") {
 		f.Part = s.Float("part", 0, 0.001, 1)
 	}
-	if f.For == 0 && (f.What == FaultStop || f.What == FaultTerm || f.What == FaultDrain && f.Back || f.What == FaultStep || f.What == FaultCrowd) {
+	if f.For == 0 && (f.What == FaultStop || f.What == FaultTerm || f.What == FaultDrain && f.Back || f.What == FaultStep || f.What == FaultCrowd || f.What == FaultAnswers) {
 		s.Bad("for", "a time after which it is over")
 	}
 }
--- a/internal/rig/soak.go
+++ b/internal/rig/soak.go
@@ -20,9 +20,9 @@
 // may, while clients use what connections are open, signals in series, watches
 // that fall silent as servers drain, servers that hang, die and come back cold,
 // links with faults, clocks that step, crowds of idle clients, nodes that
-// operators drain and, where the
-// program was built for it, calls on sockets that fail. Nothing is asked of it
-// but the rules.
+// operators drain, agents that answer late, in parts or not, and, where the program
+// was built for it, calls on sockets that fail. Nothing is asked of it but the
+// rules.
 func Soak(seed uint64) *Plan {
 	rng := rand.New(rand.NewPCG(seed, 17))
 	p := defaults()
@@ -55,6 +55,9 @@
 	if drains := drainDraws(seed); drains.IntN(3) > 0 {
 		p.soakDrains(drains)
 	}
+	if answers := answersDraws(seed); answers.IntN(4) > 0 {
+		p.soakAnswers(answers)
+	}
 	return &p
 }
 
--- a/internal/rig/soak_test.go
+++ b/internal/rig/soak_test.go
@@ -56,6 +56,50 @@
 	}
 }
 
+// TestLateAnswers guards against drains that are known late behind outages of the agents and answers that take up to half of the
+// grace, with the program of today, and with one that gives up answers on their way.
+func TestLateAnswers(t *testing.T) {
+	p, err := LoadPlan(filepath.Join("..", "..", "plans", "fleet", "late-answers.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	wantSound(t, play(t, p, Options{Program: program(t, "faulty")}))
+	wrong := play(t, p, Options{Program: program(t, "faulty"), Env: func(string) []string { return []string{"INDIGOTACK_MISTAKE=gives-up-calls"} }})
+	if !wrong.Untimed && !wrong.Broke("drains") {
+		t.Error("nodes that give up answers on their way are not caught")
+	}
+}
+
+// TestSoaksDrawAnswersOfEachKind guards against manners of agents that no soak plays, and against such as no node could hear in time.
+func TestSoaksDrawAnswersOfEachKind(t *testing.T) {
+	drawn := map[string]bool{}
+	for seed := range uint64(300) {
+		p := Soak(seed)
+		for _, f := range p.Faults {
+			if f.What != FaultAnswers {
+				continue
+			}
+			kind := f.Answers
+			if kind.After+kind.Over > p.Servers.DrainGrace/2 {
+				t.Errorf("seed %d: answers %v at a grace of %v", seed, kind, p.Servers.DrainGrace)
+			}
+			kind.After, kind.Over = min(kind.After, 1), min(kind.Over, 1)
+			drawn[kind.String()] = true
+		}
+	}
+	wanted := []string{"all whole after 1ns", "all whole over 1ns"}
+	for _, calls := range []string{CallsAll, CallsOthers, CallsKept} {
+		for _, end := range endings {
+			wanted = append(wanted, calls+" "+end)
+		}
+	}
+	for _, kind := range wanted {
+		if !drawn[kind] {
+			t.Errorf("no soak draws %s", kind)
+		}
+	}
+}
+
 // TestRestartBehindDrains: nodes that start with an old list hear of all that
 // changed since in one answer, in which servers drain after other changes.
 func TestRestartBehindDrains(t *testing.T) { wantSoundFile(t, "restart-behind-drains.toml") }
--- a/internal/rig/timetable.go
+++ b/internal/rig/timetable.go
@@ -50,6 +50,8 @@
 			what += fmt.Sprintf(" %v", f.Offset)
 		case FaultCrowd:
 			what += fmt.Sprintf(" %d", f.Number)
+		case FaultAnswers:
+			what += " " + f.Answers.String()
 		case FaultQuiesce:
 			if f.Dealt {
 				what += ", dealt"
