Follow a list whose version is 0, and pace calls that tell nothing new

Where discovery counts from 0, each call asked for the whole list, which came at once: 944 calls and 904 whole lists in 10 s at one node (its counters; 52 calls in 19 s before). And only answers that are empty were paced, not whole lists of the version that is known.

Change: whether a list is known is kept beside its version. A call that is held and answered early is paced wherever the version is as before.

Evidence, 2026-12-06: TestVersionZeroIsWatched (asked for the whole list again at once before) and TestListThatIsNotHeldIsPaced (101 calls in a second before, 13 allowed) fail before and pass with it.

--- a/internal/discovery/answers_test.go
+++ b/internal/discovery/answers_test.go
@@ -75,6 +75,7 @@
 // play is a discovery in front of a drain and from it on.
 type play struct {
 	from   Source
+	cold   bool // discovery is in front of the drain from the follower's beginning on
 	grace  time.Duration
 	dials  time.Duration // that connections take to come up
 	before []standin.Manner
@@ -107,17 +108,24 @@
 		times := PlanTimes(p.from, p.grace)
 		f = NewFollower("agent:1", p.from, times, 0, quiet, &recorded{}, sink)
 		f.caller = newCallerBy("agent:1", agent.dial, func(string) {})
+		if p.cold {
+			agent.behave(p.before...)
+		}
 		if p.from == Asked {
 			f.Ask(ctx, true, true)
 		} else {
 			go f.Follow(ctx)
 		}
-		time.Sleep(max(3*p.grace, times.Hold*3/2)) // well
+		if !p.cold {
+			time.Sleep(max(3*p.grace, times.Hold*3/2)) // well
+		}
 		agent.mu.Lock()
 		agent.dials = p.dials
 		agent.mu.Unlock()
 		if p.before != nil {
-			agent.behave(p.before...)
+			if !p.cold {
+				agent.behave(p.before...)
+			}
 			agent.awaitCall()
 			time.Sleep(p.lasts)
 		}
@@ -154,7 +162,7 @@
 			t.Parallel()
 			ways, longest, mostOpen := 0, time.Duration(0), 0
 			check := func(name string, dials, lasts time.Duration, before []standin.Manner, after behaviour) {
-				took, open := play{Agent, grace, dials, before, lasts, after}.run(t)
+				took, open := play{Agent, false, grace, dials, before, lasts, after}.run(t)
 				ways, longest, mostOpen = ways+1, max(longest, took), max(mostOpen, open)
 				if took > grace+GraceSlack {
 					t.Errorf("%s: known after %v, want %v", name, took, grace+GraceSlack)
@@ -177,12 +185,26 @@
 	}
 }
 
+// TestFirstListIsKnownWhateverCallsCameTo guards against a node that starts while
+// its agent answers nothing and has its first list late.
+func TestFirstListIsKnownWhateverCallsCameTo(t *testing.T) {
+	for _, grace := range []time.Duration{50 * time.Millisecond, 2 * time.Second, 30 * time.Second} {
+		for _, before := range befores(grace) {
+			for _, after := range afters(grace) {
+				if took, _ := (play{Agent, true, grace, 0, before.manners, before.lasts, after}).run(t); took > grace+GraceSlack {
+					t.Errorf("grace %v, %s for %v, %s: known after %v, want %v", grace, before.name, before.lasts, after.name, took, grace+GraceSlack)
+				}
+			}
+		}
+	}
+}
+
 // TestSlowAnswersAreHeardAtLast guards against an agent that is never heard as it takes longer for each answer than the grace.
 func TestSlowAnswersAreHeardAtLast(t *testing.T) {
 	const grace = 2 * time.Second
 	for _, takes := range []time.Duration{grace * 5 / 8, grace * 3 / 4, grace, grace * 3 / 2, 3 * grace, 10 * grace} {
 		for _, e := range []standin.Ending{standin.Silent, standin.Reset, standin.Trickles} {
-			took, _ := play{Agent, grace, 0, []standin.Manner{{End: e}}, grace, behaviour{manners: []standin.Manner{{After: takes}}}}.run(t)
+			took, _ := play{Agent, false, grace, 0, []standin.Manner{{End: e}}, grace, behaviour{manners: []standin.Manner{{After: takes}}}}.run(t)
 			if most := (1 + thinning) * takes; took > most && took > grace+GraceSlack {
 				t.Errorf("behind %s an agent that takes %v for each answer is heard after %v, want %v", e, takes, took, most)
 			}
@@ -261,7 +283,7 @@
 							if after.lost > 1 {
 								continue // a service that answers so little is out of reach
 							}
-							took, open := play{from, grace, 0, []standin.Manner{{End: end.Ending}}, lasts, after}.run(t)
+							took, open := play{from, false, grace, 0, []standin.Manner{{End: end.Ending}}, lasts, after}.run(t)
 							ways, longest = ways+1, max(longest, took-counts)
 							if took > counts+grace+GraceSlack {
 								t.Errorf("%s for %v, %s: known after %v, want %v", end.Ending, lasts, after.name, took, counts+grace+GraceSlack)
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -64,7 +64,7 @@
 	f.caller = newCaller(address, func(to string) {
 		recorder.Note(slog.LevelInfo, "discovery sends a call elsewhere", EventCall, "redirected", "address", to)
 	})
-	f.versions.index = version
+	f.versions.known, f.versions.index = version > 0, version
 	f.status.set(Status{Version: version})
 	return f
 }
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -357,6 +357,46 @@
 	}
 }
 
+// TestVersionZeroIsWatched guards against a storm of calls for the whole list where discovery counts its versions from 0.
+func TestVersionZeroIsWatched(t *testing.T) {
+	calls := make(chan string, 10000)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls <- r.URL.RawQuery
+		if r.URL.Query().Has("from") {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprint(w, listText(0, 3))
+	}))
+	t.Cleanup(s.Close)
+	times := PlanTimes(Agent, enough)
+	if l := receive(t, following(t, s, Agent, times, 0), "the list"); l.Index != 0 || len(l.Entries) != 3 {
+		t.Errorf("%+v", l)
+	}
+	for _, want := range []string{"", fmt.Sprintf("from=0&hold_ms=%d", times.Hold.Milliseconds())} {
+		if query := receive(t, calls, "a call"); query != want {
+			t.Errorf("asked %q, want %q", query, want)
+		}
+	}
+}
+
+// TestListThatIsNotHeldIsPaced guards against a storm of calls where discovery answers each at once with the whole list.
+func TestListThatIsNotHeldIsPaced(t *testing.T) {
+	var calls atomic.Int32
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		fmt.Fprint(w, listText(5, 3))
+	}))
+	t.Cleanup(s.Close)
+	times := PlanTimes(Agent, 2*time.Second)
+	began := time.Now()
+	following(t, s, Agent, times, 0)
+	clock.Sleep(t.Context(), 10*times.Pace)
+	if most := int32(time.Since(began)/times.Pace) + 3; calls.Load() > most || calls.Load() < 3 {
+		t.Errorf("%d calls in %v, want %d at most", calls.Load(), time.Since(began), most)
+	}
+}
+
 // TestVersionsThatGoBack: a discovery that has started anew counts versions from
 // the beginning. What changed before the node's next call stands only in its
 // whole list.
--- a/internal/discovery/loop.go
+++ b/internal/discovery/loop.go
@@ -117,7 +117,7 @@
 		return
 	}
 	judged := l.versions.judge(e.call, &e.answer, now)
-	paced := judged == nothing && now.Sub(e.call.Began) < e.call.Hold/2
+	paced := e.answer.Index == l.versions.index && now.Sub(e.call.Began) < e.call.Hold/2
 	l.giveUp(errSuperseded, l.schedule.answered(e.call.Number, now, paced))
 	l.takeUp(judged, &e.answer, now)
 	if l.sink.Confirmed != nil && judged <= outdated {
--- a/internal/discovery/versions.go
+++ b/internal/discovery/versions.go
@@ -31,7 +31,8 @@
 // answer that comes to a call that began after the list that holds had come is
 // newer, whatever its version; between others the higher version is.
 type versions struct {
-	index  uint64          // of the list that holds; 0: none yet, so that the whole list is asked for
+	known  bool            // a list holds; before, the whole list is asked for
+	index  uint64          // of the list that holds
 	names  map[string]bool // listed, but for those gone
 	came   time.Time       // when the list that holds did
 	epoch  time.Time       // answers to calls from before say nothing
@@ -47,7 +48,7 @@
 }
 
 // asksWhole tells whether the next call is for the whole list.
-func (v *versions) asksWhole() bool { return v.index == 0 || v.doubt != nil }
+func (v *versions) asksWhole() bool { return !v.known || v.doubt != nil }
 
 // judge says what an answer is that came at a time. News are to be taken, and
 // what is doubtful to be doubted.
@@ -104,7 +105,7 @@
 	if v.doubt != nil && (l.Snapshot || l.Index >= v.doubt.Index) {
 		v.doubt = nil
 	}
-	v.index, v.came = l.Index, came
+	v.known, v.index, v.came = true, l.Index, came
 }
 
 // doubts keeps a list until a second opinion comes, or none comes in time.
@@ -121,4 +122,4 @@
 }
 
 // forget has the whole list asked for anew.
-func (v *versions) forget(now time.Time) { v.index, v.epoch, v.doubt = 0, now, nil }
+func (v *versions) forget(now time.Time) { v.known, v.index, v.epoch, v.doubt = false, 0, now, nil }
