Fold the scripted agents of the program's tests into one stand-in, and tell what was verified

TestDrainBehindSilentWatch plays the same eight ways by it, as agentTrouble does others; its bound is as it was.

--- a/cmd/indigotack/agentanswers_test.go
+++ b/cmd/indigotack/agentanswers_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"slices"
 	"sync/atomic"
 	"syscall"
@@ -8,7 +9,12 @@
 	"time"
 
 	"indigotack/internal/standin"
-	"indigotack/internal/testnet"
+)
+
+const (
+	drainGrace  = 2 * time.Second
+	socketSlack = 50 * time.Millisecond // on sockets every limit is so much longer
+	mostPlays   = 3
 )
 
 // agentTrouble is how an agent answers around the moment in which it learns that
@@ -51,48 +57,54 @@
 		{"stops in the body, then three more", end(standin.StopsInBody), short,
 			append(slices.Repeat([]standin.Manner{end(standin.StopsInBody)}, 3), standin.Manner{})},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			t.Parallel()
-			late := c.sentAfterDrain(t)
-			for plays := 1; late < -drainGrace/4 && plays < 3; plays++ { // it had no requests right before, which shows nothing
-				late = c.sentAfterDrain(t)
-			}
-			t.Logf("the last request was sent %v after the drain", late)
-			if most := drainGrace + socketSlack; late > most {
-				t.Errorf("the draining server was sent a request %v after the agent had the drain, want %v at most", late, most)
-			}
-		})
+		c.check(t)
 	}
 }
 
-// behaveFromNextCall has an agent answer in a manner, and waits for a call.
-func behaveFromNextCall(t *testing.T, agent *standin.Front, manner standin.Manner) {
-	t.Helper()
-	began := make(chan bool, 1)
-	agent.Behave(func(standin.Call) standin.Manner {
-		select {
-		case began <- true:
-		default:
+// check plays the trouble, beside others, and wants the drain to be known within
+// the grace. A play in which the server had no requests right before it shows
+// nothing, and is played again.
+func (c agentTrouble) check(t *testing.T) {
+	t.Run(c.name, func(t *testing.T) {
+		t.Parallel()
+		late := c.sentAfterDrain(t)
+		for plays := 1; late < -drainGrace/4 && plays < mostPlays; plays++ {
+			late = c.sentAfterDrain(t)
+		}
+		t.Logf("the last request was sent %v after the drain", late)
+		if most := drainGrace + socketSlack; late > most {
+			t.Errorf("the draining server was sent a request %v after the agent had the drain, want %v at most", late, most)
 		}
-		return manner
 	})
-	testnet.Receive(t, 10*time.Second, began, "a call of the node")
 }
 
 // sentAfterDrain is how long after the agent had a drain the server was still sent requests.
 func (c agentTrouble) sentAfterDrain(t *testing.T) time.Duration {
 	play := newDrainPlay(t)
-	registry, agent := play.agent(t)
+	agent := startAgent(t, play.servers)
 	play.serve(t, agent.Address(), drainGrace)
-	behaveFromNextCall(t, agent, c.before)
+	agent.behaveFromNextCall(t, c.before)
 	time.Sleep(c.lasts)
 	agent.Behave(manners(c.later...))
 	at := time.Now()
-	play.list(registry, "drains", "draining")
+	agent.list("drains", "draining")
 	time.Sleep(4 * drainGrace)
 	return play.lastAfter(at)
 }
 
+// TestDrainBehindSilentWatch: a watch falls silent as it begins, and right then
+// the agent learns that a server drains. What a local agent has counts as known
+// to the node, so nothing may be sent to that server after the grace.
+func TestDrainBehindSilentWatch(t *testing.T) {
+	for _, silent := range []int{1, 2} { // watches in a row that say nothing
+		for how, end := range map[string]standin.Ending{"says nothing": standin.Silent, "stops in the head": standin.StopsInHead,
+			"stops in the body": standin.StopsInBody, "trickles": standin.Trickles} {
+			manner := standin.Manner{End: end}
+			agentTrouble{fmt.Sprintf("%s/%d", how, silent), manner, 0, append(slices.Repeat([]standin.Manner{manner}, silent-1), standin.Manner{})}.check(t)
+		}
+	}
+}
+
 // TestDrainInAPauseBehindWhichAnswersAreLate guards against requests by an old list after the process stood still, where the
 // agent's answer takes up to half of the grace.
 func TestDrainInAPauseBehindWhichAnswersAreLate(t *testing.T) {
@@ -100,14 +112,14 @@
 		t.Run(takes.String(), func(t *testing.T) {
 			t.Parallel()
 			play := newDrainPlay(t)
-			registry, agent := play.agent(t)
+			agent := startAgent(t, play.servers)
 			play.serve(t, agent.Address(), drainGrace)
-			behaveFromNextCall(t, agent, standin.Manner{End: standin.Silent}) // else the drain is there to be read
+			agent.behaveFromNextCall(t, standin.Manner{End: standin.Silent}) // else the drain is there to be read
 			if err := play.node.Signal(syscall.SIGSTOP); err != nil {
 				t.Fatal(err)
 			}
 			agent.Behave(manners(standin.Manner{After: takes}))
-			play.list(registry, "drains", "draining")
+			agent.list("drains", "draining")
 			time.Sleep(drainGrace * 3 / 2)
 			at := time.Now()
 			if err := play.node.Signal(syscall.SIGCONT); err != nil {
--- a/cmd/indigotack/connect_test.go
+++ b/cmd/indigotack/connect_test.go
@@ -59,11 +59,9 @@
 		io.WriteString(w, "page")
 	}))
 	t.Cleanup(server.Close)
-	agent := httptest.NewServer(newScriptedAgent(map[string]string{"s": server.Listener.Addr().String()}))
-	t.Cleanup(agent.Close)
-	t.Cleanup(agent.CloseClientConnections)
+	agent := startAgent(t, map[string]string{"s": server.Listener.Addr().String()})
 	listen := testnet.FreeAddress(t)
-	cmd := program(t, nodeConfig{listen: listen, discovery: agent.Listener.Addr().String(),
+	cmd := program(t, nodeConfig{listen: listen, discovery: agent.Address(),
 		settings: pushedSettings(2*time.Second) + `"caps":{"connect_timeout_ns":120000000},` + classSettings("page", "retryable", 2*time.Second)}.String())
 	var connects atomic.Int64
 	supervise(t, cmd, func(c callfault.Call) syscall.Errno {
--- a/cmd/indigotack/drain_test.go
+++ b/cmd/indigotack/drain_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"indigotack/internal/standin"
 	"indigotack/internal/testnet"
 )
 
@@ -398,8 +399,8 @@
 	called := n.order(t, quiesceCall)
 	next, logged := strings.Replace(n.config, `"seed":"1f"`, `"seed":"2f"`, 1), "needs a restart"
 	if moves {
-		agent := newScriptedAgent(map[string]string{"s0": n.server.Listener.Addr().String()})
-		next, logged = way.tell(n, configFor(n.address, serveAgent(t, agent))), "discovery has moved"
+		agent := startAgent(t, map[string]string{"s0": n.server.Listener.Addr().String()})
+		next, logged = way.tell(n, configFor(n.address, agent.Address())), "discovery has moved"
 	}
 	path := strings.TrimPrefix(n.cmd.Env[len(n.cmd.Env)-1], "GW_CONFIG=")
 	if err := os.WriteFile(path, []byte(next), 0o600); err != nil {
@@ -604,14 +605,7 @@
 
 func resumedBeforeTheFirstList(t *testing.T, way orderWay) {
 	n := newDrainNode(t, way)
-	speaks := make(chan struct{})
-	n.config = way.tell(n, configFor(n.address, serveAgent(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		select {
-		case <-speaks:
-			n.agent.ServeHTTP(w, r)
-		case <-r.Context().Done():
-		}
-	}))))
+	n.agent.Behave(manners(standin.Manner{End: standin.Silent}))
 	n.start(t)
 	testnet.Eventually(t, startTime, "the node listens", func() bool { return n.ask(get("/health/live"), time.Second).status == http.StatusOK })
 	n.order(t, quiesceCall)
@@ -619,7 +613,7 @@
 	n.checkHealth(t, false, "without a list")
 	n.order(t, quiesceCall)
 	n.checkRefused(t, "order", "before-the-list")
-	close(speaks)
+	n.agent.Behave(nil)
 	n.awaitLine(t, "servers changed", 10*time.Second)
 	n.checkHealth(t, false, "with a list that came during the drain")
 	n.checkRefused(t, "order", "behind-the-list")
--- a/cmd/indigotack/drainnode_test.go
+++ b/cmd/indigotack/drainnode_test.go
@@ -111,7 +111,7 @@
 	config               string
 	variable             string // of the environment; "": none
 	server               *pathServer
-	agent                *scriptedAgent
+	agent                *agent
 	cmd                  *exec.Cmd
 	said                 <-chan string
 }
@@ -157,8 +157,8 @@
 	case onSocket:
 		n.network, n.operatorsAt = "unix", testnet.SocketPath(t)
 	}
-	n.agent = newScriptedAgent(map[string]string{"s0": n.server.Listener.Addr().String()})
-	n.config = way.tell(n, configFor(n.address, serveAgent(t, n.agent)))
+	n.agent = startAgent(t, map[string]string{"s0": n.server.Listener.Addr().String()})
+	n.config = way.tell(n, configFor(n.address, n.agent.Address()))
 	return n
 }
 
@@ -171,13 +171,6 @@
 	return fmt.Sprintf("127.%d.%d.%d:5000", 140+(pid>>8)%100, pid%256, 1+drainNodes.Add(1)%250)
 }
 
-// serveAgent gives the address of an agent.
-func serveAgent(t *testing.T, handler http.Handler) string {
-	s := httptest.NewServer(handler)
-	t.Cleanup(s.CloseClientConnections)
-	return s.Listener.Addr().String()
-}
-
 func configFor(listen, discovery string) string {
 	var classes []string
 	for name, effect := range map[string]string{"page": `"retryable"`, "order": `"dedup","key_scope":"all","dedup_window_ns":1000000000`, "debit": `"fragile"`} {
--- a/cmd/indigotack/drainplay_test.go
+++ b/cmd/indigotack/drainplay_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -12,6 +14,7 @@
 	"time"
 
 	"indigotack/internal/standin"
+	"indigotack/internal/testnet"
 )
 
 // staysTime is what the server that stays takes longer, so that the other one is preferred.
@@ -74,25 +77,91 @@
 	return time.Duration(p.last.Load()) - at.Sub(p.zero)
 }
 
-// agent starts an agent that lists the servers.
-func (p *drainPlay) agent(t *testing.T) (*standin.Registry, *standin.Front) {
+// agent is a node's local agent, which lists servers by name.
+type agent struct {
+	*standin.Front
+	registry *standin.Registry
+	servers  map[string]string // addresses
+}
+
+// startAgent starts an agent that lists servers as ready.
+func startAgent(t *testing.T, servers map[string]string) *agent {
+	t.Helper()
 	registry, err := standin.NewRegistry()
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { registry.Close() })
-	agent, err := registry.Front("127.0.0.1:0", func(e standin.Entry) standin.Entry { return e }, nil)
+	front, err := registry.Front("127.0.0.1:0", func(e standin.Entry) standin.Entry { return e }, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { agent.Close() })
-	for name := range p.servers {
-		p.list(registry, name, "ready")
+	t.Cleanup(func() { front.Close() })
+	a := &agent{front, registry, servers}
+	for name := range servers {
+		a.list(name, "ready")
 	}
-	return registry, agent
+	return a
 }
 
 // list has a server listed in a state.
-func (p *drainPlay) list(registry *standin.Registry, name, status string) {
-	registry.Set(standin.Entry{Name: name, Address: p.servers[name], Zone: "a", Kind: "m2", Status: status, Weight: 1})
+func (a *agent) list(name, status string) {
+	a.registry.Set(standin.Entry{Name: name, Address: a.servers[name], Zone: "a", Kind: "m2", Status: status, Weight: 1})
+}
+
+// behaveFromNextCall has the agent answer in a manner, and waits for a call.
+func (a *agent) behaveFromNextCall(t *testing.T, manner standin.Manner) {
+	t.Helper()
+	began := make(chan bool, 1)
+	a.Behave(func(standin.Call) standin.Manner {
+		select {
+		case began <- true:
+		default:
+		}
+		return manner
+	})
+	testnet.Receive(t, startTime, began, "a call of the node")
+}
+
+// pagePrefix begins the ids of requests that sendPages sends.
+const pagePrefix = "page-"
+
+// sendPages sends a request every few milliseconds until stop is closed.
+func sendPages(address string, stop <-chan struct{}) {
+	client := &http.Client{Timeout: 3 * time.Second}
+	for number := 0; ; number++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(5 * time.Millisecond):
+		}
+		req, err := http.NewRequest(http.MethodGet, "http://"+address+"/api/x", nil)
+		if err != nil {
+			panic(err)
+		}
+		req.Header.Set("X-Request-Id", fmt.Sprint(pagePrefix, address, "-", number))
+		req.Header.Set("X-Class", "page")
+		req.Header.Set("X-Deadline", "2")
+		if resp, err := client.Do(req); err == nil {
+			io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+	}
+}
+
+// awaitReady waits until a node says that it is ready.
+func awaitReady(t *testing.T, address string) {
+	t.Helper()
+	for until := time.Now().Add(30 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		if conn, err := net.Dial("tcp", address); err == nil {
+			conn.Close()
+			if resp, err := http.Get("http://" + address + "/health/ready"); err == nil {
+				resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					return
+				}
+			}
+		}
+	}
+	t.Fatal("the program does not get ready")
 }
--- a/cmd/indigotack/kill_test.go
+++ b/cmd/indigotack/kill_test.go
@@ -65,10 +65,9 @@
 		t.Cleanup(s.CloseClientConnections)
 		servers[fmt.Sprint("s", i)] = s.Listener.Addr().String()
 	}
-	agent := httptest.NewServer(newScriptedAgent(servers))
-	t.Cleanup(agent.CloseClientConnections)
+	agent := startAgent(t, servers)
 	listen := testnet.FreeAddress(t)
-	cmd := program(t, nodeConfig{listen: listen, discovery: agent.Listener.Addr().String(),
+	cmd := program(t, nodeConfig{listen: listen, discovery: agent.Address(),
 		settings: pushedSettings(2*time.Second) + `"caps":{"max_attempts":4,"cancel":true},` + classSettings("page", "retryable", longest)}.String())
 	start(t, cmd)
 	awaitReady(t, listen)
--- a/cmd/indigotack/signals_test.go
+++ b/cmd/indigotack/signals_test.go
@@ -29,10 +29,9 @@
 		io.WriteString(w, "page")
 	}))
 	t.Cleanup(server.Close)
-	agent := httptest.NewServer(newScriptedAgent(map[string]string{"s": server.Listener.Addr().String()}))
-	t.Cleanup(agent.CloseClientConnections)
+	agent := startAgent(t, map[string]string{"s": server.Listener.Addr().String()})
 	listen = testnet.FreeAddress(t)
-	cmd = program(t, nodeConfig{listen: listen, discovery: agent.Listener.Addr().String(),
+	cmd = program(t, nodeConfig{listen: listen, discovery: agent.Address(),
 		settings: pushedSettings(2*time.Second) + classSettings("page", "retryable", 2*time.Second)}.String())
 	said = start(t, cmd)
 	awaitReady(t, listen)
