Keep the planned chains of calls to discovery beside the test that checks them

Two functions and a bound that only TestTimesFit and the tests in fake time use stood in the package; no change of behaviour.

--- a/internal/discovery/answers_test.go
+++ b/internal/discovery/answers_test.go
@@ -164,8 +164,8 @@
 			check := func(name string, dials, lasts time.Duration, before []standin.Manner, after behaviour) {
 				took, open := play{Agent, false, grace, dials, before, lasts, after}.run(t)
 				ways, longest, mostOpen = ways+1, max(longest, took), max(mostOpen, open)
-				if took > grace+GraceSlack {
-					t.Errorf("%s: known after %v, want %v", name, took, grace+GraceSlack)
+				if took > grace+graceSlack {
+					t.Errorf("%s: known after %v, want %v", name, took, grace+graceSlack)
 				}
 				if open > mostAgentCalls {
 					t.Errorf("%s: %d calls were open", name, open)
@@ -191,8 +191,8 @@
 	for _, grace := range []time.Duration{50 * time.Millisecond, 2 * time.Second, 30 * time.Second} {
 		for _, before := range befores(grace) {
 			for _, after := range afters(grace) {
-				if took, _ := (play{Agent, true, grace, 0, before.manners, before.lasts, after}).run(t); took > grace+GraceSlack {
-					t.Errorf("grace %v, %s for %v, %s: known after %v, want %v", grace, before.name, before.lasts, after.name, took, grace+GraceSlack)
+				if took, _ := (play{Agent, true, grace, 0, before.manners, before.lasts, after}).run(t); took > grace+graceSlack {
+					t.Errorf("grace %v, %s for %v, %s: known after %v, want %v", grace, before.name, before.lasts, after.name, took, grace+graceSlack)
 				}
 			}
 		}
@@ -205,7 +205,7 @@
 	for _, takes := range []time.Duration{grace * 5 / 8, grace * 3 / 4, grace, grace * 3 / 2, 3 * grace, 10 * grace} {
 		for _, e := range []standin.Ending{standin.Silent, standin.Reset, standin.Trickles} {
 			took, _ := play{Agent, false, grace, 0, []standin.Manner{{End: e}}, grace, behaviour{manners: []standin.Manner{{After: takes}}}}.run(t)
-			if most := (1 + thinning) * takes; took > most && took > grace+GraceSlack {
+			if most := (1 + thinning) * takes; took > most && took > grace+graceSlack {
 				t.Errorf("behind %s an agent that takes %v for each answer is heard after %v, want %v", e, takes, took, most)
 			}
 		}
@@ -275,9 +275,9 @@
 				hold := PlanTimes(from, grace).Hold
 				for _, end := range endings {
 					for _, lasts := range []time.Duration{100 * time.Millisecond, time.Second, 4 * time.Second, 12 * time.Second} {
-						counts := LateTold // after discovery can be reached
+						counts := lateTold // after discovery can be reached
 						if end.silent && lasts < hold {
-							counts = max(LateTold, hold+HeldTold) - lasts
+							counts = max(lateTold, hold+heldTold) - lasts
 						}
 						for _, after := range afters(grace) {
 							if after.lost > 1 {
@@ -285,8 +285,8 @@
 							}
 							took, open := play{from, false, grace, 0, []standin.Manner{{End: end.Ending}}, lasts, after}.run(t)
 							ways, longest = ways+1, max(longest, took-counts)
-							if took > counts+grace+GraceSlack {
-								t.Errorf("%s for %v, %s: known after %v, want %v", end.Ending, lasts, after.name, took, counts+grace+GraceSlack)
+							if took > counts+grace+graceSlack {
+								t.Errorf("%s for %v, %s: known after %v, want %v", end.Ending, lasts, after.name, took, counts+grace+graceSlack)
 							}
 							if most := PlanTimes(from, grace).MostCalls; open > most {
 								t.Errorf("%s for %v, %s: %d calls were open, want %d", end.Ending, lasts, after.name, open, most)
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -39,7 +39,7 @@
 }
 
 // Follower follows the list of servers at one address. Its methods are safe for
-// concurrent use, but for Ask, Start and End among themselves.
+// concurrent use, but for Ask and End among themselves.
 type Follower struct {
 	from     Source
 	times    Times
--- a/internal/discovery/schedule_test.go
+++ b/internal/discovery/schedule_test.go
@@ -7,7 +7,10 @@
 	"time"
 )
 
-const testGrace = 2 * time.Second
+const (
+	testGrace  = 2 * time.Second
+	graceSlack = 50 * time.Millisecond // a change on sockets may be acted on so much later than the grace says
+)
 
 // scheduleAt is a schedule for an agent, without jitter, and its clock.
 func scheduleAt(grace time.Duration) (*schedule, time.Time) {
@@ -145,14 +148,30 @@
 				p.MostCalls < 4 || p.Pace <= 0 || p.Second < 0 || p.Second > grace/4 {
 				t.Errorf("source %d, grace %v: %+v", from, grace, p)
 			}
-			// What is missed may count as known from HeldTold after the hold, and from LateTold after discovery is back; of an agent at once.
-			watched, back := p.known(grace/2)-HeldTold, p.knownAgain(grace/2)-LateTold
+			// What is missed may count as known from heldTold after the hold, and from lateTold after discovery is back; of an agent at once.
+			watched, back := p.known(grace/2)-heldTold, p.knownAgain(grace/2)-lateTold
 			if from == Agent {
 				watched, back = p.Hold+p.known(grace/2), p.knownAgain(grace/2)
 			}
-			if most := grace + GraceSlack; watched > most || back > most {
+			if most := grace + graceSlack; watched > most || back > most {
 				t.Errorf("source %d, grace %v: known after %v, and %v behind an outage, want %v", from, grace, watched, back, most)
 			}
 		}
 	}
 }
+
+// known is how long after a change it is known at the latest, from the moment at
+// which a call owes its answer, where each call is answered within a time, but for
+// that one and the first one beside it, which fail or never are. The list may have
+// lost most servers.
+func (t Times) known(answer time.Duration) time.Duration {
+	second := max(min(2*t.FirstStep, t.LastStep), t.Backoff*3/2)
+	return t.FirstStep + second + answer + t.Second
+}
+
+// knownAgain is the same from the moment at which a discovery is back that was out
+// of reach for long.
+func (t Times) knownAgain(answer time.Duration) time.Duration {
+	step := max(t.LastStep, t.Longest*3/2)
+	return 2*step + answer + t.Second
+}
--- a/internal/discovery/times.go
+++ b/internal/discovery/times.go
@@ -17,13 +17,11 @@
 )
 
 // What a platform counts as known: what a watch misses that has fallen silent
-// counts LateTold after it, or HeldTold after the wait is over that the call asked
-// for, if that is later. A change on sockets may be acted on GraceSlack later than
-// the settings' grace says.
+// counts lateTold after it, or heldTold after the wait is over that the call asked
+// for, if that is later.
 const (
-	LateTold   = 6 * time.Second
-	HeldTold   = 2 * time.Second
-	GraceSlack = 50 * time.Millisecond
+	lateTold = 6 * time.Second
+	heldTold = 2 * time.Second
 )
 
 // Bounds of an agent's times, whatever the grace.
@@ -57,7 +55,7 @@
 // call is answered within half of the grace, even if the first call after the
 // change never is.
 func PlanTimes(from Source, grace time.Duration) Times {
-	t := Times{FirstStep: 500 * time.Millisecond, LastStep: LateTold / 2, MostCalls: 5,
+	t := Times{FirstStep: 500 * time.Millisecond, LastStep: lateTold / 2, MostCalls: 5,
 		Backoff: 50 * time.Millisecond, Longest: time.Second, Pace: 100 * time.Millisecond, Second: min(500*time.Millisecond, grace/4)}
 	switch from {
 	case Agent:
@@ -74,26 +72,10 @@
 		t.Hold, t.WholeStep = 5*time.Second, time.Second
 	case Asked:
 		// The service answers in turn, so that calls beside others are few.
-		t.Hold, t.FirstStep, t.WholeStep = 20*time.Second, 600*time.Millisecond, HeldTold
+		t.Hold, t.FirstStep, t.WholeStep = 20*time.Second, 600*time.Millisecond, heldTold
 	}
 	t.Unheard = t.Hold + max(grace, t.FirstStep)
 	return t
 }
 
 func clamp(d, least, most time.Duration) time.Duration { return min(max(d, least), most) }
-
-// known is how long after a change it is known at the latest, from the moment at
-// which a call owes its answer, where each call is answered within a time, but for
-// that one and the first one beside it, which fail or never are. The list may have
-// lost most servers.
-func (t Times) known(answer time.Duration) time.Duration {
-	second := max(min(2*t.FirstStep, t.LastStep), t.Backoff*3/2)
-	return t.FirstStep + second + answer + t.Second
-}
-
-// knownAgain is the same from the moment at which a discovery is back that was out
-// of reach for long.
-func (t Times) knownAgain(answer time.Duration) time.Duration {
-	step := max(t.LastStep, t.Longest*3/2)
-	return 2*step + answer + t.Second
-}
