Show by a test that a node loses drains when its discovery moves

The stand-in of an agent can now retire, that is, take no new connections and end the open ones after a time, and answer as one that has been sent no list.

--- a/cmd/indigotack/drainplay_test.go
+++ b/cmd/indigotack/drainplay_test.go
@@ -25,9 +25,14 @@
 type drainPlay struct {
 	listen  string
 	servers map[string]string // addresses by name
-	node    *os.Process
-	zero    time.Time
-	last    atomic.Int64 // when the server that drains was sent a request last, since zero; 0: never
+
+	discovery          string // that the node's configuration names at its start
+	config, configPath string
+	served, failed     atomic.Int64 // requests
+
+	node *os.Process
+	zero time.Time
+	last atomic.Int64 // when the server that drains was sent a request last, since zero; 0: never
 }
 
 // newDrainPlay starts the servers.
@@ -55,14 +60,17 @@
 // once the server that is to drain gets some of them.
 func (p *drainPlay) serve(t *testing.T, discovery string, grace time.Duration) {
 	t.Helper()
-	node := program(t, nodeConfig{listen: p.listen, discovery: discovery,
-		settings: pushedSettings(grace) + classSettings("page", "retryable", 2*time.Second)}.String())
+	p.discovery = discovery
+	p.config = nodeConfig{listen: p.listen, discovery: discovery,
+		settings: pushedSettings(grace) + classSettings("page", "retryable", 2*time.Second)}.String()
+	node := program(t, p.config)
+	p.configPath = strings.TrimPrefix(node.Env[len(node.Env)-1], "GW_CONFIG=")
 	logOnFailure(t, start(t, node))
 	p.node = node.Process
 	awaitReady(t, p.listen)
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	clients.Go(func() { sendPages(p.listen, stop) })
+	clients.Go(func() { p.sendPages(stop) })
 	t.Cleanup(clients.Wait)
 	t.Cleanup(func() { close(stop) })
 	for until := time.Now().Add(10 * time.Second); p.last.Load() == 0; time.Sleep(time.Millisecond) {
@@ -127,7 +135,8 @@
 const pagePrefix = "page-"
 
 // sendPages sends a request every few milliseconds until stop is closed.
-func sendPages(address string, stop <-chan struct{}) {
+func (p *drainPlay) sendPages(stop <-chan struct{}) {
+	address := p.listen
 	client := &http.Client{Timeout: 3 * time.Second}
 	for number := 0; ; number++ {
 		select {
@@ -142,10 +151,16 @@
 		req.Header.Set("X-Request-Id", fmt.Sprint(pagePrefix, address, "-", number))
 		req.Header.Set("X-Class", "page")
 		req.Header.Set("X-Deadline", "2")
-		if resp, err := client.Do(req); err == nil {
+		resp, err := client.Do(req)
+		if err == nil {
 			io.Copy(io.Discard, resp.Body)
 			resp.Body.Close()
 		}
+		if err == nil && resp.StatusCode == http.StatusOK {
+			p.served.Add(1)
+		} else {
+			p.failed.Add(1)
+		}
 	}
 }
 
--- a/internal/standin/registry.go
+++ b/internal/standin/registry.go
@@ -80,6 +80,7 @@
 type Front struct {
 	registry *Registry
 	srv      *http.Server
+	ln       net.Listener
 	frozen   atomic.Pointer[frozenList] // nil: it tells what the registry has
 	manner   atomic.Pointer[func(Call) Manner]
 	calls    atomic.Int64
@@ -152,13 +153,23 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Front{registry: r, at: ln.Addr().String()}
+	f := &Front{registry: r, ln: ln, at: ln.Addr().String()}
 	f.srv = r.server(change, wrote, f)
 	f.srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, countedKey{}, c) }
 	go f.srv.Serve(countedListener{ln})
 	return f, nil
 }
 
+// Blank has the front answer as one that nobody has sent a list yet: its list has
+// version 0 and no servers. Thaw ends that.
+func (f *Front) Blank() { f.frozen.Store(&frozenList{}) }
+
+// Retire has the front take no new connection, and ends the open ones after a time.
+func (f *Front) Retire(after time.Duration) {
+	f.ln.Close() // the server's loop ends by it
+	time.AfterFunc(after, func() { f.Close() })
+}
+
 // Close ends the front and its watches.
 func (f *Front) Close() error { return f.srv.Close() }
 
