Count a watch that ends under a kept connection as a failed call

Callers: a drain was known late where a service of lists reset a watch on a connection that the call before had left open. The transport of net/http sends a GET again by itself there, with the whole hold of the first one and unseen by the schedule of calls, which then waits for an answer that nobody owes yet.

With answers that tell their length the connection is kept on every release; the new test failed before:

caller_test.go:34: the call came to "answered" (<nil>) with 3 calls at the agent, want reset with 2

Each request is sent once now: the second time that the transport wants a connection for it, the call fails, and the schedule makes the next one.

--- a/internal/discovery/caller.go
+++ b/internal/discovery/caller.go
@@ -32,6 +32,7 @@
 	errRedirects = errors.New("discovery redirects too often")
 	errTooLong   = fmt.Errorf("discovery's list is over %d bytes", maxList)
 	errReading   = fmt.Errorf("the answers to all open calls are over %d bytes", maxReading)
+	errEnded     = errors.New("the connection kept from the call before has ended")
 )
 
 // statusError is an answer that is no list.
@@ -87,7 +88,9 @@
 		return nil
 	}
 	dial = withinCall(dial)
-	client := func(t *http.Transport) *http.Client { return &http.Client{CheckRedirect: check, Transport: t} }
+	client := func(t *http.Transport) *http.Client {
+		return &http.Client{CheckRedirect: check, Transport: sentOnce{t}}
+	}
 	return &caller{
 		url:   "http://" + address + listPath,
 		kept:  client(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1}),
@@ -113,6 +116,23 @@
 	}
 }
 
+// sentOnce sends each request once. A transport by itself sends one again, as long
+// held as before and unseen, where a connection that it kept ends under it.
+type sentOnce struct{ *http.Transport }
+
+// RoundTrip sends a request. It fails with errEnded where it would be sent again.
+func (s sentOnce) RoundTrip(req *http.Request) (*http.Response, error) {
+	ctx, cancel := context.WithCancelCause(req.Context()) // which the call ends with its own
+	sent := false
+	trace := &httptrace.ClientTrace{GetConn: func(string) {
+		if sent {
+			cancel(errEnded)
+		}
+		sent = true
+	}}
+	return s.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+}
+
 // close closes the connection that is kept between calls.
 func (c *caller) close() { c.kept.CloseIdleConnections() }
 
@@ -131,7 +151,9 @@
 		GotConn:              func(httptrace.GotConnInfo) { p.at.Store(int32(waiting)) },
 		GotFirstResponseByte: func() { p.at.Store(int32(reading)) },
 	}
-	traced := httptrace.WithClientTrace(context.WithValue(ctx, callKey{}, ctx), trace)
+	within, cancel := context.WithCancel(context.WithValue(ctx, callKey{}, ctx))
+	defer cancel()
+	traced := httptrace.WithClientTrace(within, trace)
 	req, err := http.NewRequestWithContext(traced, http.MethodGet, c.url+call.query(), nil)
 	if err != nil {
 		return l, err
@@ -204,7 +226,7 @@
 		return "refused"
 	case at == reading:
 		return "cut"
-	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, errEnded), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return "reset"
 	}
 	return "failed"
