Keep connections to discovery behind answers that come in chunks

Callers: an agent that takes no new connections and ends the open ones later, as one does that the configuration has left, could not be heard on the open one: the node made a connection for each call, as the end of an answer in chunks was not read and net/http then closes the connection.

The end of an answer whose list has come is waited for, for 10 ms and 1 KiB at most; an answer that has none is cancelled and its list taken all the same.

--- a/internal/discovery/caller.go
+++ b/internal/discovery/caller.go
@@ -11,6 +11,7 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"indigotack/internal/connect"
 )
@@ -19,6 +20,9 @@
 	maxRedirects = 10          // of one call
 	maxReading   = 2 * maxList // bytes of the answers to all open calls together
 	listPath     = "/registry/instances"
+
+	endTime = 10 * time.Millisecond // for the end of an answer whose list has come
+	maxEnd  = 1 << 10               // bytes of it
 )
 
 // Why calls were given up.
@@ -171,10 +175,20 @@
 		return l, statusError{resp.Status}
 	}
 	defer func() { c.reading.Add(-p.bytes.Load()) }()
-	err = l.decode(json.NewDecoder(&answerReader{body: resp.Body, of: c, read: p}))
+	if err = l.decode(json.NewDecoder(&answerReader{body: resp.Body, of: c, read: p})); err == nil {
+		awaitEnd(resp.Body, cancel)
+	}
 	return l, err
 }
 
+// awaitEnd reads the end of an answer whose list has come, as only then is its
+// connection kept for the next call. An answer that does not end is cancelled.
+func awaitEnd(body io.Reader, cancel context.CancelFunc) {
+	overdue := time.AfterFunc(endTime, cancel)
+	defer overdue.Stop()
+	io.CopyN(io.Discard, body, maxEnd) // what it says, or fails by, does not count
+}
+
 // query is what the call asks.
 func (c Call) query() string {
 	if c.Whole {
