Follow the discovery before until its successor has told a list

Cause: Node.Reload, and the sidecar's, ended the follower at the old address before the new one had answered once. Where that refused, was silent or failed, the node heard nothing, though its old agent was open, or stayed.

Evidence: the nodes' own logs have SIGHUP and "discovery has moved" at 3.00 s, then refused calls, then late sends 3.4 s behind.

Change: package discovery follows several sources. The one in use stays so until the one that the configuration names has told a whole list. Behind that the former is heard for 6 s more, or until it refuses: what it has of servers that drain or are gone still counts. Such drains, and those known before, hold until the source in use tells of the server anew or it has started since, for a minute at most, and for 6 s where they would take most servers out of use. A later move takes the place of one that has not told a list yet; the address in use again ends that. Calls are 16 to all agents of a node together: 10, 3 and 3.

TestReloadMovesDiscovery no longer waits for the old watch to end before the new list comes: that was the fault.

--- a/internal/discovery/agent_test.go
+++ b/internal/discovery/agent_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"indigotack/internal/clock"
@@ -28,6 +29,8 @@
 	drained chan struct{} // closed once the server drains
 	manner  func(call int) standin.Manner
 	kept    bool // only calls on connections that have carried one before are answered so
+	refuses bool // connections
+	blank   bool // has been sent no list
 	calls   int
 	most    int // calls that were open at once
 	open    int
@@ -64,8 +67,11 @@
 // dial connects to the agent.
 func (a *fakeAgent) dial(ctx context.Context, _, _ string) (net.Conn, error) {
 	a.mu.Lock()
-	takes := a.dials
+	takes, refuses := a.dials, a.refuses
 	a.mu.Unlock()
+	if refuses {
+		return nil, syscall.ECONNREFUSED
+	}
 	if !clock.Sleep(ctx, takes) {
 		return nil, context.Cause(ctx)
 	}
@@ -133,6 +139,12 @@
 // answer is what the agent has after a version.
 func (a *fakeAgent) answer(from int) []byte {
 	index, status := 1, "ready"
+	a.mu.Lock()
+	blank := a.blank
+	a.mu.Unlock()
+	if blank {
+		return []byte(`{"index":0,"snapshot":true,"endpoints":[]}`)
+	}
 	select {
 	case <-a.drained:
 		index, status = 2, "draining"
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -1,12 +1,14 @@
 // Package discovery follows the list of servers that a discovery service or a
 // node's local agent has: which calls are open and when the next one begins
 // (schedule), one call (caller), which answer is news (versions), and the loop that
-// puts them together (Follower).
+// puts them together (Follower). When the address changes, a source stays in use
+// until the next one has told a list (succession, Sources).
 package discovery
 
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"indigotack/internal/eventlog"
@@ -56,6 +58,9 @@
 	watches  bool          // the order in force is to follow the list, not for one whole list alone
 	status   statusBoard
 	unsure   bool // the last call of the loop before failed; the loop's
+
+	incumbent atomic.Pointer[incumbent] // that the first list is judged by; nil: none
+	callLimit atomic.Int64              // calls that are open at once
 }
 
 // NewFollower makes a follower from a version on; 0: none is known.
@@ -66,6 +71,7 @@
 		recorder.Note(slog.LevelInfo, "discovery sends a call elsewhere", EventCall, "redirected", "address", to)
 	})
 	f.versions.known, f.versions.index = version > 0, version
+	f.callLimit.Store(int64(times.MostCalls))
 	f.status.set(Status{Version: version})
 	return f
 }
--- a/internal/discovery/loop.go
+++ b/internal/discovery/loop.go
@@ -27,6 +27,8 @@
 	calls    sync.WaitGroup
 	whole    bool // the whole list is wanted
 	watch    bool // and then its changes
+
+	unprovenAt time.Time // of the last line on a list that proves nothing
 }
 
 // run follows the list until ctx ends, or the whole list has come and no watch is
@@ -79,6 +81,7 @@
 
 // begin makes the call that is due, if one is.
 func (l *loop) begin(now time.Time) {
+	l.schedule.times.MostCalls = int(l.callLimit.Load())
 	c, givenUp, due := l.schedule.begin(now, l.whole || l.versions.asksWhole(), l.versions.index)
 	l.giveUp(errThinned, givenUp)
 	if !due {
@@ -116,8 +119,9 @@
 		}
 		return
 	}
+	l.versions.incumbent = l.incumbent.Load()
 	judged := l.versions.judge(e.call, &e.answer, now)
-	paced := e.answer.Index == l.versions.index && now.Sub(e.call.Began) < e.call.Hold/2
+	paced := judged == unproven || e.answer.Index == l.versions.index && now.Sub(e.call.Began) < e.call.Hold/2
 	l.giveUp(errSuperseded, l.schedule.answered(e.call.Number, now, paced))
 	l.takeUp(judged, &e.answer, now)
 	if l.sink.Confirmed != nil && judged <= outdated {
@@ -148,6 +152,12 @@
 		}
 		l.versions.doubts(answer, now)
 		l.schedule.hurry(now)
+	case unproven:
+		if now.Sub(l.unprovenAt) >= lineEvery {
+			l.unprovenAt = now
+			l.recorder.Note(slog.LevelWarn, "the new discovery's list lacks what is known, the one before stays in use", EventList, "not_proven",
+				"version", answer.Index, "servers", len(answer.Entries), "known", len(l.versions.incumbent.names))
+		}
 	}
 }
 
--- a/internal/discovery/status.go
+++ b/internal/discovery/status.go
@@ -24,14 +24,37 @@
 	Unheard  bool      // no call was answered for longer than a grace
 	Since    time.Time // of that
 	Last     []string  // what the last calls came to, the newest last
+
+	Address string      // of the source in use, where Sources tell
+	Next    *NextStatus // the source that is to follow it; nil: none is
+}
+
+// NextStatus is what is known of a source that has not told a list yet by which it
+// could take the place of the one in use.
+type NextStatus struct {
+	Address string
+	Move    int // by which it is followed
+	Since   time.Time
+	Open    int      // calls
+	Last    []string // what the last calls came to, the newest last
 }
 
-// Attributes are what the log tells while discovery is not heard; none while it is.
-func (s Status) Attributes(now time.Time) []any {
+// attributes are what the log tells of it.
+func (n *NextStatus) attributes(now time.Time) []any {
+	return []any{"discovery_next", n.Address, "discovery_next_move", n.Move, "discovery_next_for", now.Sub(n.Since),
+		"discovery_next_calls_open", n.Open, "discovery_next_last_calls", n.Last}
+}
+
+// Attributes are what the log tells while discovery is not heard, or moves; none
+// otherwise.
+func (s Status) Attributes(now time.Time) (all []any) {
+	if s.Next != nil {
+		all = s.Next.attributes(now)
+	}
 	if !s.Unheard {
-		return nil
+		return all
 	}
-	all := []any{"discovery_unheard_for", now.Sub(s.Since), "discovery_calls_open", s.Open, "discovery_last_calls", s.Last}
+	all = append(all, "discovery_unheard_for", now.Sub(s.Since), "discovery_calls_open", s.Open, "discovery_last_calls", s.Last)
 	if !s.OwedFrom.IsZero() {
 		all = append(all, "discovery_oldest_call_waits", now.Sub(s.OwedFrom))
 	}
--- a/internal/discovery/times.go
+++ b/internal/discovery/times.go
@@ -24,6 +24,9 @@
 	heldTold = 2 * time.Second
 )
 
+// movedTold is within which what discovery has at a new address counts as known.
+const movedTold = 4 * time.Second
+
 // Bounds of an agent's times, whatever the grace.
 const (
 	graceParts     = 8                     // of which a call may owe one before another begins beside it
--- a/internal/discovery/versions.go
+++ b/internal/discovery/versions.go
@@ -25,6 +25,7 @@
 	foreign                  // it is of versions that discovery does not count any more
 	restarted                // discovery counts versions anew, and only its whole list tells what there is
 	doubtful                 // a whole list that has lost most servers: a second opinion is asked for
+	unproven                 // the first list of a source that is to follow another, which does not show that it may
 )
 
 // versions says which answer is news where several calls are open at once. An
@@ -38,6 +39,8 @@
 	epoch  time.Time       // answers to calls from before say nothing
 	second time.Duration   // for a second opinion
 
+	incumbent *incumbent // the source whose place the first list takes; nil: there is none
+
 	doubt      *List // waits for a second opinion; nil: none does
 	doubtCame  time.Time
 	doubtUntil time.Time
@@ -55,6 +58,8 @@
 func (v *versions) judge(c Call, l *List, came time.Time) verdict {
 	overlapped := c.Began.Before(v.came)
 	switch {
+	case !v.known && v.incumbent != nil && v.incumbent.outweighs(l, came):
+		return unproven
 	case c.Began.Before(v.epoch):
 		return foreign
 	case overlapped && l.Index <= v.index:
@@ -75,16 +80,34 @@
 
 // shrunk tells whether a whole list lacks most of the servers before.
 func (v *versions) shrunk(l *List) bool {
-	if !l.Snapshot || len(v.names) < shrinkLeast {
+	return l.Snapshot && hasLostMost(v.names, l)
+}
+
+// hasLostMost tells whether a whole list lacks most of some servers.
+func hasLostMost(names map[string]bool, l *List) bool {
+	if len(names) < shrinkLeast {
 		return false
 	}
 	kept := 0
 	for i := range l.Entries {
-		if v.names[l.Entries[i].Name] {
+		if names[l.Entries[i].Name] {
 			kept++
 		}
 	}
-	return float64(len(v.names)-kept) > shrinkPart*float64(len(v.names))
+	return float64(len(names)-kept) > shrinkPart*float64(len(names))
+}
+
+// incumbent is the source in use while another one is to follow it.
+type incumbent struct {
+	names map[string]bool // of the servers that are known
+	heard func() bool     // whether it still is
+	until time.Time       // a list without most of these servers is not taken before
+}
+
+// outweighs tells whether what is known holds rather than the first list of the
+// source that is to follow, which came at a time.
+func (i *incumbent) outweighs(l *List, came time.Time) bool {
+	return !l.Snapshot
 }
 
 // take has a list hold that came at a time.
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -109,9 +109,8 @@
 	return s.Listener.Addr().String(), began, gone
 }
 
-// TestReloadMovesDiscovery: the old watch ends, and the list at the new
-// address is taken whole though its versions are lower; what comes late from
-// the old one does not count.
+// TestReloadMovesDiscovery: the list at the new address is taken whole though its
+// versions are lower, and the old watch ends.
 func TestReloadMovesDiscovery(t *testing.T) {
 	n := startNode(t, refusing(t))
 	names := func() string {
@@ -134,13 +133,10 @@
 	n.Reload(cfg)
 	until("[a]")
 	wait(t, firstBegan, "the old watch") // the list is there before the watch that follows it
-	var late *discovery.Follower
-	n.post(func() { late = n.discovery })
 	cfg.Discovery = second
 	n.Reload(cfg)
-	wait(t, firstGone, "the end of the old watch")
 	until("[b]")
-	n.sinkWhile(func() bool { return n.discovery == late }).List(discovery.List{Index: 10, Snapshot: true})
+	wait(t, firstGone, "the end of the old watch")
 	until("[b]")
 	n.Reload(cfg) // the same again changes nothing
 	until("[b]")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,7 +26,7 @@
 	*owner
 	cfg       Config
 	front     *frontend
-	discovery *discovery.Follower  // the loop's
+	sources   *discovery.Sources   // the loop's
 	listeners *operators.Listeners // operators' own; nil: HearOperators was not called
 }
 
@@ -46,8 +46,8 @@
 	n.front.account = account.New(accountSize(cfg.MemoryMB, clients, maxBody))
 	n.backends.account, n.mayHaveRun = n.front.account, repeats.New(n.front.account)
 	n.owner.listChanged = func(servers int) { n.front.life.SetReady(servers > 0) }
-	n.owner.ask = func(fetch, watch bool) { n.discovery.Ask(n.ctx, fetch, watch) }
-	n.discovery = n.discoveryAt(cfg.Discovery, cfg.known.Index)
+	n.owner.ask = func(fetch, watch bool) { n.sources.Ask(n.ctx, fetch, watch) }
+	n.sources = n.newSources()
 	return n
 }
 
@@ -70,36 +70,22 @@
 // Counters are what the node has counted since it was made.
 func (n *Node) Counters() *metrics.Set { return n.counters }
 
-// discoveryAt makes a follower of the list at an address, from a version on, whose
-// news count for as long as it is the node's.
-func (n *Node) discoveryAt(address string, version uint64) *discovery.Follower {
+// newSources makes what follows the list at the configured address. Its news are
+// taken up by the event loop.
+func (n *Node) newSources() *discovery.Sources {
 	from := discovery.Agent
 	if n.cfg.Settings.AskForList {
 		from = discovery.Asked
 	}
 	times := watchTimes(discovery.PlanTimes(from, n.cfg.Settings.DrainGrace))
-	var d *discovery.Follower
-	sink := n.sinkWhile(func() bool { return n.discovery == d })
-	d = discovery.NewFollower(address, from, times, version, n.log, recorder{n.observer}, sink)
-	return d
-}
-
-// sinkWhile takes up news of discovery for as long as they count, which the event
-// loop asks.
-func (n *Node) sinkWhile(counts func() bool) discovery.Sink {
-	news := func(f func()) {
-		n.post(func() {
-			if counts() {
-				f()
-			}
-		})
-	}
-	return discovery.Sink{
-		List:       func(l discovery.List) { news(func() { n.follow(l.Entries, l.Index, l.Kind(), l.Origin) }) },
-		Failed:     func() { news(func() { n.handle(decide.ListUpdate{Kind: decide.ListFailed}) }) },
-		Confirmed:  func(at time.Time) { news(func() { n.backends.stalls.confirm(at) }) }, // without a guard, nothing
+	return discovery.NewSources(n.cfg.Discovery, from, times, n.cfg.known.Index, n.log, recorder{n.observer}, discovery.Owner{
+		Act:        n.post,
+		Known:      func() map[string]discovery.Entry { return n.entries },
+		List:       func(l discovery.List) { n.follow(l.Entries, l.Index, l.Kind(), l.Origin) },
+		Failed:     func() { n.handle(decide.ListUpdate{Kind: decide.ListFailed}) },
+		Confirmed:  func(at time.Time) { n.backends.stalls.confirm(at) }, // without a guard, nothing
 		CallFailed: n.discoveryFailed,
-	}
+	})
 }
 
 // discoveryFailed makes room for the next call to discovery where this one failed
@@ -115,14 +101,14 @@
 func (n *Node) watchStalls() {
 	n.backends.stalls = newStallGuard(n.cfg.Settings.DrainGrace, func() {
 		n.note(slog.LevelWarn, "the process stood still, the list is confirmed before anything is sent", eventStall, "confirmed")
-		go n.post(func() { n.discovery.ConfirmAgain() })
+		go n.post(n.sources.ConfirmAgain)
 	})
 	go n.backends.stalls.run(n.ctx)
 }
 
 // Reload takes up a configuration that was read anew while the node runs: it
-// follows the list of servers at the new address, and hears operators where they
-// are now. All else needs a restart.
+// follows the list of servers at the new address, once that has told one, and
+// hears operators where they are now. All else needs a restart.
 func (n *Node) Reload(cfg Config) {
 	n.front.tellsCounters.Store(len(cfg.Operators.OnListen) > 0)
 	if n.listeners != nil {
@@ -133,24 +119,14 @@
 		if keys := n.cfg.passedOver(cfg, n.listVersion); len(keys) > 0 {
 			n.log.Warn("of the new configuration only discovery and operators' addresses are taken up; the rest needs a restart", "passed_over", keys)
 		}
-		if cfg.Discovery == n.cfg.Discovery {
-			return
-		}
-		n.log.Info("discovery has moved", "address", cfg.Discovery)
 		n.cfg.Discovery = cfg.Discovery
-		n.discovery.End()
-		n.discovery = n.discoveryAt(cfg.Discovery, 0)
-		if n.cfg.Settings.AskForList {
-			n.discovery.Ask(n.ctx, true, true)
-		} else {
-			go n.discovery.Follow(n.ctx)
-		}
+		n.sources.Move(cfg.Discovery)
 	})
 }
 
 // Run serves clients on ln until ctx ends, then finishes what is open.
 func (n *Node) Run(ctx context.Context, ln net.Listener) error {
-	first := n.discovery // the loop may replace it
+	n.sources.NoteUnknown(&n.cfg.known)
 	stop := n.run(ctx)
 	defer stop()
 	go n.summarize(n.ended)
@@ -162,12 +138,11 @@
 		}
 	}
 	n.cfg.known.Note(n.log)
-	first.NoteUnknown(&n.cfg.known)
 	n.post(func() { n.follow(n.cfg.known.Entries, n.cfg.known.Index, decide.ListCached, discovery.Origin{}) })
 	if !n.cfg.Settings.AskForList {
 		n.watchStalls()
-		go first.Follow(n.ctx)
 	}
+	n.post(func() { n.sources.Start(n.ctx) })
 	err := n.front.serve(ctx, ln)
 	stop()
 	<-n.ended
--- a/internal/node/sidecar.go
+++ b/internal/node/sidecar.go
@@ -47,7 +47,7 @@
 	listMu  sync.Mutex // lists reach the pools in order; taken after mu
 	entries map[string]discovery.Entry
 	version uint64
-	source  *discovery.Follower // nil with a file of servers
+	sources *discovery.Sources // follow none with a file of servers
 }
 
 // sidePool is one pool with its owner.
@@ -112,7 +112,9 @@
 		s.pools[p.Name] = s.newPool(s.app, p)
 	}
 	s.listMu.Lock()
-	err := s.takeSource(s.app, "")
+	s.sources = s.newSources(s.app)
+	s.sources.Start(inner)
+	err := s.takeSource(s.app)
 	s.listMu.Unlock()
 	s.mu.Unlock()
 	if err == nil {
@@ -201,7 +203,7 @@
 		}
 		pools[pool.Name] = p
 	}
-	if err := s.takeSource(&app, old.Discovery); err != nil {
+	if err := s.takeSource(&app); err != nil {
 		s.log.Error("the list of servers stays as it was", "err", err)
 	}
 	for name, p := range s.pools {
@@ -226,41 +228,39 @@
 	}
 }
 
-// takeSource reads the file of servers, or follows discovery at a new address.
-func (s *Sidecar) takeSource(app *appconfig.App, discoveryBefore string) error {
-	if app.ServerFile != "" {
-		if s.source != nil {
-			s.source.End()
-			s.source = nil
-		}
-		servers, mistakes := appconfig.LoadServers(app.ServerFile)
-		if len(mistakes) > 0 {
-			return mistakes
-		}
-		s.takeFile(servers)
-		return nil
-	}
-	if s.source != nil && app.Discovery == discoveryBefore {
+// takeSource reads the file of servers, or follows discovery at a new address. What
+// the list came from stays in use until its successor has told one. The caller
+// holds mu and listMu.
+func (s *Sidecar) takeSource(app *appconfig.App) error {
+	if app.ServerFile == "" {
+		s.sources.Move(app.Discovery)
 		return nil
 	}
-	if s.source != nil {
-		s.source.End()
+	servers, mistakes := appconfig.LoadServers(app.ServerFile)
+	if len(mistakes) > 0 {
+		return mistakes
 	}
-	var d *discovery.Follower
-	take := func(l discovery.List) {
+	s.sources.Leave()
+	s.takeFile(servers)
+	return nil
+}
+
+// newSources makes what follows the list of a discovery service.
+func (s *Sidecar) newSources(app *appconfig.App) *discovery.Sources {
+	times := discovery.PlanTimes(discovery.Server, app.DrainGrace)
+	act := func(f func()) {
 		s.mu.RLock()
 		defer s.mu.RUnlock()
 		s.listMu.Lock()
 		defer s.listMu.Unlock()
-		if s.source == d {
-			s.take(l.Entries, l.Index, l.Kind(), l.Origin)
-		}
+		f()
 	}
-	times := discovery.PlanTimes(discovery.Server, app.DrainGrace)
-	d = discovery.NewFollower(app.Discovery, discovery.Server, times, 0, s.log, recorder{s.observer}, discovery.Sink{List: take, CallFailed: onCallFailed})
-	s.source = d
-	go d.Follow(s.ctx)
-	return nil
+	return discovery.NewSources(app.Discovery, discovery.Server, times, 0, s.log, recorder{s.observer}, discovery.Owner{
+		Act:        act,
+		Known:      func() map[string]discovery.Entry { return s.entries },
+		List:       func(l discovery.List) { s.take(l.Entries, l.Index, l.Kind(), l.Origin) },
+		CallFailed: onCallFailed,
+	})
 }
 
 // takeFile makes a list of a file's servers. One that is new since the last
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -48,7 +48,7 @@
 	if ago := s.discovery.AnsweredAgo(now); ago >= 0 {
 		answered = ago
 	}
-	all := []any{"phase", s.phase, "phase_reason", s.reason, "list_version", s.listVersion, "discovery_answered_ago", answered, "servers", s.servers,
+	all := []any{"phase", s.phase, "phase_reason", s.reason, "list_version", s.listVersion, "discovery", s.discovery.Address, "discovery_answered_ago", answered, "servers", s.servers,
 		"draining", names(s.draining), "open_requests", s.openRequests, "client_connections", s.clientConnections}
 	all = append(all, "descriptors", s.descriptors)
 	all = append(all, s.memory...)
@@ -104,7 +104,7 @@
 // stateOnLoop is to be called by the event loop.
 func (n *Node) stateOnLoop() nodeState {
 	front := n.front.status()
-	s := nodeState{phase: front.State, reason: front.Reason, listVersion: n.listVersion, discovery: n.discovery.Status(),
+	s := nodeState{phase: front.State, reason: front.Reason, listVersion: n.listVersion, discovery: n.sources.Status(),
 		servers: len(n.entries), openRequests: len(n.requests), clientConnections: front.Connections,
 		descriptors: n.descriptors(), calls: n.calls.summary()}
 	s.unknownNames, s.unknownKinds = n.cfg.unknownNames()
--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -29,7 +29,7 @@
 	if s, ok := n.state(); !ok || s.discovery.AnsweredAgo(time.Now()) != -1 || s.phase != "starting" {
 		t.Errorf("before discovery answers: %+v, %v", s, ok)
 	}
-	go n.discovery.Follow(n.ctx)
+	n.post(func() { n.sources.Start(n.ctx) })
 	waitUntil(t, "the list", func() bool {
 		s, ok := n.state()
 		return ok && s.servers > 0
