Judge the first list of a new discovery by the servers that are known

Callers: nearly all requests were refused behind a configuration that named an agent which had been sent no list yet: its empty list was taken for the fleet. A list that has lost most servers is doubted, but the follower at a new address began with no names to doubt it by.

A list of version 0 without a server never takes the place of one that is known.

--- a/cmd/indigotack/discoverymove_test.go
+++ b/cmd/indigotack/discoverymove_test.go
@@ -73,6 +73,25 @@
 	}
 }
 
+// TestServesWhileNewDiscoveryHasNoList guards against a node that takes the empty list of an agent that has been sent none for the fleet.
+func TestServesWhileNewDiscoveryHasNoList(t *testing.T) {
+	for _, m := range []discoveryMove{
+		{name: "for good, old stays", blank: never},
+		{name: "for 1.4 s, old stays", blank: 1400 * time.Millisecond},
+		{name: "for 3 s, old retires", blank: 3 * time.Second, retires: true},
+		{name: "for good, old retires", blank: never, retires: true},
+	} {
+		t.Run(m.name, func(t *testing.T) {
+			t.Parallel()
+			m.drain = never
+			_, p := m.play(t)
+			if served, failed := p.served.Load(), p.failed.Load(); failed > 0 {
+				t.Errorf("%d of %d requests were not served", failed, served+failed)
+			}
+		})
+	}
+}
+
 // play moves a node's discovery, and gives how long after the drain the server was still sent requests.
 func (m discoveryMove) play(t *testing.T) (late time.Duration, p *drainPlay) {
 	p = newDrainPlay(t)
--- a/internal/discovery/sources_test.go
+++ b/internal/discovery/sources_test.go
@@ -26,6 +26,8 @@
 	{name: "well"},
 	{name: "refuses", refuses: true},
 	{name: "refuses for a while", refuses: true, until: 900 * time.Millisecond},
+	{name: "blank", blank: true},
+	{name: "blank for a while", blank: true, until: 900 * time.Millisecond},
 	{name: "silent", manner: standin.Manner{End: standin.Silent}},
 	{name: "stops in the body", manner: standin.Manner{End: standin.StopsInBody}},
 	{name: "resets", manner: standin.Manner{End: standin.Reset}},
@@ -113,7 +115,7 @@
 				t.Parallel()
 				longest, ways, most := time.Duration(0), 0, 0
 				for _, one := range places {
-					for _, other := range []place{places[0], places[1], places[3]} {
+					for _, other := range []place{places[0], places[1], places[3], places[5]} {
 						for _, apart := range []time.Duration{50 * time.Millisecond, 2 * time.Second} {
 							for _, drain := range []time.Duration{apart * 3 / 2, apart * 7 / 2} {
 								took, open := playMoves(t, from, grace, one, other, apart, drain)
--- a/internal/discovery/succession_test.go
+++ b/internal/discovery/succession_test.go
@@ -147,3 +147,38 @@
 		p.list(id, !changes, text)
 	}
 }
+
+// TestFirstListOfSuccessor: whether the list of a discovery that is to follow another is taken.
+func TestFirstListOfSuccessor(t *testing.T) {
+	zero := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name    string
+		l       List
+		known   int
+		heard   bool
+		after   time.Duration // the move
+		waiting bool
+	}{
+		{"a whole list", List{Index: 4, Snapshot: true, Entries: entriesOf("s0 s1 s2 s3 s4")}, 5, true, 0, false},
+		{"changes", List{Index: 4, Entries: entriesOf("s0")}, 5, true, time.Hour, true},
+		{"of one that has been sent none", List{Snapshot: true}, 5, false, time.Hour, true},
+		{"of one that has been sent none where none is known", List{Snapshot: true}, 0, false, 0, false},
+		{"an empty one while the one before is heard", List{Index: 4, Snapshot: true}, 5, true, time.Hour, true},
+		{"an empty one while it is not", List{Index: 4, Snapshot: true}, 5, false, 0, true},
+		{"and once it counts", List{Index: 4, Snapshot: true}, 5, false, movedTold, false},
+		{"without most servers", List{Index: 4, Snapshot: true, Entries: entriesOf("s0 s1")}, 5, true, 0, true},
+		{"and once it counts", List{Index: 4, Snapshot: true, Entries: entriesOf("s0 s1")}, 5, true, movedTold, false},
+		{"without a few", List{Index: 4, Snapshot: true, Entries: entriesOf("s0 s1 s2")}, 5, true, 0, false},
+		{"other servers", List{Index: 4, Snapshot: true, Entries: entriesOf("t0 t1 t2 t3 t4")}, 5, true, 0, true},
+	} {
+		v := newVersions(time.Second)
+		v.incumbent = &incumbent{names: map[string]bool{}, heard: func() bool { return c.heard }, until: zero.Add(movedTold)}
+		for i := range c.known {
+			v.incumbent.names[fmt.Sprint("s", i)] = true
+		}
+		got := v.judge(Call{Number: 1, Whole: true, Began: zero}, &c.l, zero.Add(c.after))
+		if (got == unproven) != c.waiting {
+			t.Errorf("%s, %v behind the move: %d", c.name, c.after, got)
+		}
+	}
+}
--- a/internal/discovery/versions.go
+++ b/internal/discovery/versions.go
@@ -105,9 +105,20 @@
 }
 
 // outweighs tells whether what is known holds rather than the first list of the
-// source that is to follow, which came at a time.
+// source that is to follow, which came at a time. A list of version 0 without any
+// server is that of an agent that has been sent none, and never replaces one.
 func (i *incumbent) outweighs(l *List, came time.Time) bool {
-	return !l.Snapshot
+	switch {
+	case !l.Snapshot:
+		return true
+	case len(i.names) == 0:
+		return false
+	case len(l.Entries) == 0 && (l.Index == 0 || i.heard()):
+		return true
+	case len(l.Entries) == 0 || hasLostMost(i.names, l):
+		return came.Before(i.until)
+	}
+	return false
 }
 
 // take has a list hold that came at a time.
