Judge drains by what the old agent has while discovery moves, and play moves in series

The rig's checker excused all that was listed within 4 s behind each move of discovery, and the rig moved only to agents that were well.

What the old agent has for as long as it learns counts at once now. What only the new one has counts 4 s behind the move, and not before that one tells it. A process that was started since, by a file that names the new one, is owed nothing of the old one.

The fault "move" has a place (well, down, silent, unavailable, blank) and a time for which the old one learns on; its end has the new place tell what it has. Soaks draw up to three moves in series with drains before, within and behind.

The twins TestSilentWatches and TestLateAnswers share their body with TestMovesOfDiscovery; what they check is as before.

--- a/internal/node/mistakes.go
+++ b/internal/node/mistakes.go
@@ -25,4 +25,5 @@
 func failConnects(*net.Dialer)                                                {}
 func shortRead(b []byte) []byte                                               { return b }
 func watchTimes(t discovery.Times) discovery.Times                            { return t }
+func beforeMove(*discovery.Sources)                                           {}
 func instead(_ *owner, id decide.ServerID) decide.ServerID                    { return id }
--- a/internal/node/mistakes_faulty.go
+++ b/internal/node/mistakes_faulty.go
@@ -154,3 +154,11 @@
 	}
 	return id
 }
+
+// beforeMove: "leaves-discovery-early" ends the discovery before when its
+// configuration names another one.
+func beforeMove(s *discovery.Sources) {
+	if mistake == "leaves-discovery-early" {
+		s.Leave()
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -119,6 +119,9 @@
 		if keys := n.cfg.passedOver(cfg, n.listVersion); len(keys) > 0 {
 			n.log.Warn("of the new configuration only discovery and operators' addresses are taken up; the rest needs a restart", "passed_over", keys)
 		}
+		if cfg.Discovery != n.cfg.Discovery {
+			beforeMove(n.sources)
+		}
 		n.cfg.Discovery = cfg.Discovery
 		n.sources.Move(cfg.Discovery)
 	})
--- a/internal/rig/check.go
+++ b/internal/rig/check.go
@@ -76,7 +76,7 @@
 	told     map[[2]string][]toldStatus // by node and server
 	views    map[string][]viewLog
 	listings map[string][]toldStatus // by server: what discovery had of it
-	moves    map[string][]span       // by node: from when its discovery moved to when what it has there counts
+	moves    map[string][]moveLog    // by node, of its discovery
 	torn     []span                  // in which no list came whole
 	unheard  map[string][]span       // by node: in which its agent answered no call
 }
--- a/internal/rig/check_servers.go
+++ b/internal/rig/check_servers.go
@@ -76,16 +76,12 @@
 	return slices.DeleteFunc(slices.Clone(h.away[node]), func(s span) bool { return slices.Contains(h.stands[node], s) })
 }
 
-// movedTime is within which what a node's agent has at a new address counts as
-// known to the node, after it was told to follow it there.
-const movedTime = 4 * time.Second
-
 // agentHad is since when a platform's node counts as notified of a server's
 // state because its local agent had it, however its watch did; 0: not by that. An
 // agent that is out of reach, or answers nothing, learns nothing, and has what it
 // gets when it is back from then on; what it had before counts as before. A node
-// that starts is told by what its agent has then, and one whose agent moves has
-// time for that.
+// that starts is told by what its agent has then. What its agents have while it moves
+// from one to another: unheardOverMoves.
 func (h *History) agentHad(node, server string, at int64) int64 {
 	if !h.Plan.Platform {
 		return 0
@@ -99,7 +95,7 @@
 
 // agentHears is when a platform node's agent has what is listed at a time.
 func (h *History) agentHears(node string, listed int64) int64 {
-	out := slices.Concat(h.torn, h.restarts(node), h.moves[node], h.unheard[node], h.wrong[[2]string{node, Discovery}])
+	out := slices.Concat(h.torn, h.restarts(node), h.unheardOverMoves(node), h.unheard[node], h.wrong[[2]string{node, Discovery}])
 	for moved := true; moved; {
 		moved = false
 		for _, s := range out {
--- a/internal/rig/evidence.go
+++ b/internal/rig/evidence.go
@@ -62,7 +62,7 @@
 // newHistory puts events together.
 func newHistory(p *Plan, events []Event) *History {
 	h := &History{Plan: p, Events: events, end: forever, quiet: forever, requests: map[string]*requestLog{}, away: map[string][]span{}, stands: map[string][]span{},
-		starved: map[string][]span{}, wrong: map[[2]string][]span{}, missed: map[string][]int64{}, belated: map[string]time.Duration{}, crowds: map[string][]span{}, busy: map[int]bool{}, told: map[[2]string][]toldStatus{}, views: map[string][]viewLog{}, listings: map[string][]toldStatus{}, moves: map[string][]span{}, unheard: map[string][]span{}}
+		starved: map[string][]span{}, wrong: map[[2]string][]span{}, missed: map[string][]int64{}, belated: map[string]time.Duration{}, crowds: map[string][]span{}, busy: map[int]bool{}, told: map[[2]string][]toldStatus{}, views: map[string][]viewLog{}, listings: map[string][]toldStatus{}, moves: map[string][]moveLog{}, unheard: map[string][]span{}}
 	classes := map[string]*Class{}
 	for i := range p.Classes {
 		classes[p.Classes[i].Name] = &p.Classes[i]
@@ -117,7 +117,13 @@
 		case Ordered:
 			switch e.Text {
 			case discoveryMoved:
-				h.moves[name] = append(h.moves[name], span{from: e.At, to: e.At + int64(movedTime)})
+				h.moves[name] = append(h.moves[name], moveLog{at: e.At, keeps: int64(e.N * 1e9), tells: e.At})
+			case discoveryMovedBlind:
+				h.moves[name] = append(h.moves[name], moveLog{at: e.At, keeps: int64(e.N * 1e9), tells: forever})
+			case discoveryTells:
+				if all := h.moves[name]; len(all) > 0 {
+					all[len(all)-1].tells = min(all[len(all)-1].tells, e.At)
+				}
 			case killedAtLast:
 				atLast[name] = true
 			case "killed":
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -201,7 +201,11 @@
 	case FaultReload:
 		n.reload()
 	case FaultMove:
-		n.moveDiscovery()
+		if over {
+			n.discoveryTells()
+		} else {
+			n.moveDiscovery(fault.Move)
+		}
 	case FaultAnswers:
 		f.registry.behave(n.i, fault.Answers, over)
 	case FaultClock:
--- a/internal/rig/history.go
+++ b/internal/rig/history.go
@@ -54,8 +54,13 @@
 // killedAtLast is the text of an order to end that comes when a node should have ended by itself.
 const killedAtLast = "killed at last"
 
-// discoveryMoved is the text of an order to follow discovery to another address.
-const discoveryMoved = "discovery has moved"
+// Texts of orders to follow discovery to another address, whose number is for how
+// many seconds the old one learns on.
+const (
+	discoveryMoved      = "discovery has moved"
+	discoveryMovedBlind = "discovery has moved to a place that tells nothing"
+	discoveryTells      = "discovery tells at the new place"
+)
 
 // Event is one line of a history.
 type Event struct {
--- a/internal/rig/network.go
+++ b/internal/rig/network.go
@@ -196,6 +196,7 @@
 	*standin.Registry
 	seen   []func(standin.Entry) standin.Entry // by node
 	fronts [][discoveryPlaces]*standin.Front   // by node
+	places []*nodePlaces                       // by node
 }
 
 func newRegistry(p *Plan, k *block, wrote func(node string, a standin.Written)) (*registry, error) {
@@ -221,22 +222,11 @@
 			}
 		}
 		r.fronts = append(r.fronts, fronts)
+		r.places = append(r.places, &nodePlaces{})
 	}
 	return r, nil
 }
 
-// move has a node's discovery learn at another place only. What the node finds
-// at the old one stays as it is now.
-func (r *registry) move(node, place int) {
-	for i, front := range r.fronts[node] {
-		if i == place {
-			front.Thaw()
-		} else {
-			front.Freeze()
-		}
-	}
-}
-
 // behave has a node's agent answer calls in a manner, or as before.
 func (r *registry) behave(node int, answers Answers, over bool) {
 	for _, front := range r.fronts[node] {
--- a/internal/rig/node.go
+++ b/internal/rig/node.go
@@ -148,19 +148,29 @@
 	n.note(Logged, string(line[:min(len(line), maxLogLine)]), 0)
 }
 
-// moveDiscovery has the node's discovery move: its file names another place, it
-// is told to read it, and what it finds at the old place learns nothing more.
-func (n *node) moveDiscovery() {
-	n.place = (n.place + 1) % discoveryPlaces
+// moveDiscovery has the node's discovery move: its file names another place, and it
+// is told to read it.
+func (n *node) moveDiscovery(m Move) {
+	n.place = n.of.registry.move(n.i, m)
 	if err := n.file(); err != nil {
 		n.failed(err.Error())
 		return
 	}
-	n.of.registry.move(n.i, n.place)
-	n.note(Ordered, discoveryMoved, 0)
+	text := discoveryMoved
+	if !m.well() {
+		text = discoveryMovedBlind
+	}
+	n.note(Ordered, text, m.Keeps.Seconds())
 	n.reload()
 }
 
+// discoveryTells has the place to which discovery has moved tell what it has.
+func (n *node) discoveryTells() {
+	if n.of.registry.recover(n.i) {
+		n.note(Ordered, discoveryTells, 0)
+	}
+}
+
 // reload tells the node to read its file again. No program can catch a signal
 // that comes before it runs.
 func (n *node) reload() {
--- a/internal/rig/plan.go
+++ b/internal/rig/plan.go
@@ -101,7 +101,7 @@
 	FaultStarve    = "starve"    // a node gets one part of Factor of one core
 	FaultClock     = "clock"     // a node starts again, its wall clock being off by Offset
 	FaultReload    = "reload"    // SIGHUP; nodes only
-	FaultMove      = "move"      // a node's discovery moves to another address, which its file names and SIGHUP tells; the old one learns nothing more
+	FaultMove      = "move"      // a node's discovery moves to another address, which its file names and SIGHUP tells
 	FaultSlow      = "slow"      // a server is slower by Factor
 	FaultFail      = "fail"      // a server answers Part of its requests with an error
 	FaultHang      = "hang"      // a server takes requests and says nothing
@@ -136,6 +136,7 @@
 	Does    string // crowd: what its clients do
 	Dealt   bool   // quiesce: clients are sent to the node all the same
 	Answers Answers
+	Move    Move
 	State   string // what a node finds in its state folder when it starts again
 
 	Between [2]string // links: names or patterns of both ends
--- a/internal/rig/planformat.go
+++ b/internal/rig/planformat.go
@@ -132,6 +132,8 @@
 		set("does", f.Does)
 	case FaultAnswers:
 		f.Answers.format(set)
+	case FaultMove:
+		f.Move.format(set)
 	case FaultKill, FaultTerm:
 		set("state", f.State)
 	}
--- a/internal/rig/planread.go
+++ b/internal/rig/planread.go
@@ -220,6 +220,8 @@
 		f.Does = s.OneOf("does", crowdWords[0], crowdWords...)
 	case FaultAnswers:
 		f.Answers = readAnswers(s)
+	case FaultMove:
+		f.Move = readMove(s)
 	case FaultQuiesce:
 		f.Dealt = s.Bool("dealt", false)
 	case FaultKill, FaultTerm:
--- a/internal/rig/soak.go
+++ b/internal/rig/soak.go
@@ -20,7 +20,8 @@
 // may, while clients use what connections are open, signals in series, watches
 // that fall silent as servers drain, servers that hang, die and come back cold,
 // links with faults, clocks that step, crowds of idle clients, nodes that
-// operators drain, agents that answer late, in parts or not, crowds that have a node
+// operators drain, agents that answer late, in parts or not, configurations in series
+// that name agents which tell nothing, crowds that have a node
 // hold or do much, and, where the program
 // was built for it, calls on sockets that fail. Nothing is asked of it but the
 // rules.
@@ -62,6 +63,9 @@
 	if answers := answersDraws(seed); answers.IntN(4) > 0 {
 		p.soakAnswers(answers)
 	}
+	if moves := moveDraws(seed); moves.IntN(4) > 0 {
+		p.soakMoves(moves)
+	}
 	return &p
 }
 
@@ -124,7 +128,7 @@
 	case FaultReload:
 		f.Targets, f.For = []string{"n*"}, 0
 	case FaultMove:
-		f.Targets, f.For = []string{"n*"}, 0
+		f.Targets, f.For, f.Move = []string{"n*"}, 0, Move{Place: PlaceWell}
 		if rng.IntN(2) == 0 {
 			f.Every = tenths(rng, 1, 3)
 		}
--- a/internal/rig/soak_test.go
+++ b/internal/rig/soak_test.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"fmt"
 	"path/filepath"
 	"testing"
 
@@ -42,32 +43,29 @@
 	}
 }
 
-// TestSilentWatches: the incident of sends to draining servers, with the program
-// of today, and with one that is patient with watches.
-func TestSilentWatches(t *testing.T) {
-	p, err := LoadPlan(filepath.Join("..", "..", "plans", "fleet", "silent-watches.toml"))
+// caughtBy plays a plan with the program of today, and with one that is built with a mistake, which has to break the rule on drains.
+func caughtBy(t *testing.T, planFile, mistake string) {
+	t.Helper()
+	p, err := LoadPlan(filepath.Join("..", "..", "plans", "fleet", planFile))
 	if err != nil {
 		t.Fatal(err)
 	}
 	wantSound(t, play(t, p, Options{Program: program(t, "faulty")}))
-	patient := play(t, p, Options{Program: program(t, "faulty"), Env: func(string) []string { return []string{"INDIGOTACK_MISTAKE=patient-with-watches"} }})
-	if !patient.Untimed && !patient.Broke("drains") {
-		t.Error("nodes that are patient with watches are not caught")
+	wrong := play(t, p, Options{Program: program(t, "faulty"), Env: func(string) []string { return []string{"INDIGOTACK_MISTAKE=" + mistake} }})
+	if !wrong.Untimed && !wrong.Broke("drains") {
+		t.Errorf("nodes with the mistake %s are not caught", mistake)
 	}
 }
 
-// TestLateAnswers guards against drains that are known late behind outages of the agents and answers that take up to half of the
-// grace, with the program of today, and with one that gives up answers on their way.
-func TestLateAnswers(t *testing.T) {
-	p, err := LoadPlan(filepath.Join("..", "..", "plans", "fleet", "late-answers.toml"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	wantSound(t, play(t, p, Options{Program: program(t, "faulty")}))
-	wrong := play(t, p, Options{Program: program(t, "faulty"), Env: func(string) []string { return []string{"INDIGOTACK_MISTAKE=gives-up-calls"} }})
-	if !wrong.Untimed && !wrong.Broke("drains") {
-		t.Error("nodes that give up answers on their way are not caught")
-	}
+// TestSilentWatches guards against nodes that are patient with watches that fall silent as servers drain.
+func TestSilentWatches(t *testing.T) { caughtBy(t, "silent-watches.toml", "patient-with-watches") }
+
+// TestLateAnswers guards against drains that are known late behind outages of the agents and answers that take up to half of the grace.
+func TestLateAnswers(t *testing.T) { caughtBy(t, "late-answers.toml", "gives-up-calls") }
+
+// TestMovesOfDiscovery guards against nodes that leave the agent they hear before the one that a new configuration names tells them anything.
+func TestMovesOfDiscovery(t *testing.T) {
+	caughtBy(t, "discovery-moves.toml", "leaves-discovery-early")
 }
 
 // TestSoaksDrawAnswersOfEachKind guards against manners of agents that no soak plays, and against such as no node could hear in time.
@@ -137,3 +135,33 @@
 		}
 	}
 }
+
+// TestSoaksDrawMovesOfEachKind guards against places that no soak moves a node's discovery to, and against moves without series or drains.
+func TestSoaksDrawMovesOfEachKind(t *testing.T) {
+	drawn, series := map[string]bool{}, 0
+	for seed := range uint64(300) {
+		moves := 0
+		for _, f := range Soak(seed).Faults {
+			if f.What == FaultMove {
+				moves++
+				drawn[f.Move.Place+fmt.Sprint(f.Move.Keeps > 0, f.For > 0)] = true
+			}
+		}
+		if moves > 2 {
+			series++
+		}
+	}
+	for _, place := range placeWords {
+		for _, keeps := range []bool{false, true} {
+			if !drawn[place+fmt.Sprint(keeps, false)] {
+				t.Errorf("no soak moves to a place that is %s, the old one learning on: %v", place, keeps)
+			}
+			if lasts := place != PlaceWell && place != PlaceDown; lasts && !drawn[place+fmt.Sprint(keeps, true)] {
+				t.Errorf("no soak has a place that is %s for a while", place)
+			}
+		}
+	}
+	if series < 100 {
+		t.Errorf("%d of 300 soaks move discovery three times, want 100", series)
+	}
+}
--- a/internal/rig/timetable.go
+++ b/internal/rig/timetable.go
@@ -52,6 +52,10 @@
 			what += fmt.Sprintf(" %d, %s", f.Number, f.Does)
 		case FaultAnswers:
 			what += " " + f.Answers.String()
+		case FaultMove:
+			if f.Move != (Move{Place: PlaceWell}) {
+				what += " " + f.Move.String()
+			}
 		case FaultQuiesce:
 			if f.Dealt {
 				what += ", dealt"
