Answer operators at the old address until one of the new ones is heard

Callers: where somebody else had the new address, operators were answered nowhere, and a drain reached nobody.

The test failed before: "at the old address while somebody else has the new one: ... connect: no such file or directory".

An address that goes stays answered until one of those that come is heard. It goes at once where none comes, or where it is in the way of one: the same port on the same or any host, or the same socket under another prefix. The state line names it in operators_at for as long.

--- a/internal/operators/endpoint.go
+++ b/internal/operators/endpoint.go
@@ -36,6 +36,21 @@
 	return e.Address + e.Prefix
 }
 
+// inTheWayOf tells whether two endpoints may not be listened at both at once.
+func (e Endpoint) inTheWayOf(other Endpoint) bool {
+	if e.Network != other.Network || e.Network == networkUnix {
+		return e.Network == other.Network && e.Address == other.Address
+	}
+	host, port, _ := net.SplitHostPort(e.Address) // an endpoint has both
+	otherHost, otherPort, _ := net.SplitHostPort(other.Address)
+	if port != otherPort {
+		return false
+	}
+	ip, err := netip.ParseAddr(host)
+	otherIP, otherErr := netip.ParseAddr(otherHost)
+	return err != nil || otherErr != nil || ip.IsUnspecified() || otherIP.IsUnspecified() || ip == otherIP
+}
+
 // Why a text is no endpoint.
 const (
 	whyNoAddress = "no address: want host:port, a port, a URL or a socket's path"
--- a/internal/operators/listeners.go
+++ b/internal/operators/listeners.go
@@ -42,6 +42,8 @@
 	ended   bool
 	found   Found
 	entries []*entry
+	leaving []*entry // go once one of their successors is heard
+	begun   []*entry // those successors
 	running sync.WaitGroup
 }
 
@@ -62,15 +64,17 @@
 }
 
 // Update hears operators at other addresses from now on. One that stays is not
-// interrupted; the calls that are open at one that goes are answered.
+// interrupted. One that goes stays until one of those that come can be had, unless
+// it is in the way of that; the calls that are open there are answered.
 func (l *Listeners) Update(found Found) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.ended {
 		return
 	}
-	old := l.entries
-	l.found, l.entries = found, nil
+	old := slices.Concat(l.entries, l.leaving)
+	l.found, l.entries, l.leaving, l.begun = found, nil, nil, nil
+	var come []Address
 	for _, a := range found.Addresses {
 		i := slices.IndexFunc(old, func(e *entry) bool { return e.endpoint == a.Endpoint })
 		if i >= 0 {
@@ -79,12 +83,38 @@
 			old = slices.Delete(slices.Clone(old), i, i+1)
 			continue
 		}
-		l.entries = append(l.entries, l.begin(a))
+		come = append(come, a)
 	}
 	for _, e := range old {
-		l.log.Info("operators are no longer answered", "address", e.endpoint.String())
-		e.end(nil)
+		if len(come) == 0 || slices.ContainsFunc(come, func(a Address) bool { return a.Endpoint.inTheWayOf(e.endpoint) }) {
+			l.leave(e)
+		} else {
+			l.leaving = append(l.leaving, e)
+		}
+	}
+	for _, a := range come {
+		l.begun = append(l.begun, l.begin(a))
 	}
+	l.entries = append(l.entries, l.begun...)
+}
+
+// leave ends an address at which operators are not to be heard any more.
+func (l *Listeners) leave(e *entry) {
+	l.log.Info("operators are no longer answered", "address", e.endpoint.String())
+	e.end(nil)
+}
+
+// succeeded ends the addresses that go once one of their successors is heard.
+func (l *Listeners) succeeded(e *entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !slices.Contains(l.begun, e) {
+		return
+	}
+	for _, old := range l.leaving {
+		l.leave(old)
+	}
+	l.leaving, l.begun = nil, nil
 }
 
 // begin hears operators at one more address. The caller holds mu.
@@ -99,7 +129,7 @@
 func (l *Listeners) Close() {
 	l.mu.Lock()
 	l.ended = true
-	for _, e := range l.entries {
+	for _, e := range slices.Concat(l.entries, l.leaving) {
 		e.end(errNodeEnds)
 	}
 	l.mu.Unlock()
@@ -110,7 +140,7 @@
 func (l *Listeners) At() (all []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, e := range l.entries {
+	for _, e := range slices.Concat(l.entries, l.leaving) {
 		if heard, text := e.text(); heard {
 			all = append(all, text)
 		}
@@ -210,6 +240,7 @@
 		}
 		e.visitor.stop()
 		srv := e.serve(ln)
+		e.of.succeeded(e)
 		noteTried()
 		e.hear(ctx, ln, srv, &background)
 		wait = firstRetry
--- a/internal/operators/listeners_test.go
+++ b/internal/operators/listeners_test.go
@@ -236,6 +236,47 @@
 	}
 }
 
+// TestOldAddressStaysUntilItsSuccessorIsHeard guards against a reload after which operators are answered nowhere, as the new address can't be had.
+func TestOldAddressStaysUntilItsSuccessorIsHeard(t *testing.T) {
+	before, after := testnet.SocketPath(t), testnet.SocketPath(t)
+	other, err := bindUnix(after)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := started(t, told(before), echo)
+	awaitHeard(t, "unix", before)
+	l.Update(told(after))
+	awaitNotAt(t, l, inUse)
+	if got := ask("unix", before, "/x"); got != "/x" {
+		t.Errorf("at the old address while somebody else has the new one: %s", got)
+	}
+	if at := strings.Join(l.At(), " "); at != "unix:"+before+"(control)" {
+		t.Errorf("heard at %s", at)
+	}
+	other.Close()
+	awaitHeard(t, "unix", after)
+	testnet.Eventually(t, soon, "the old address is given up", func() bool { return ask("unix", before, "/x") != "/x" })
+	l.Update(Found{})
+	testnet.Eventually(t, soon, "all are given up where none is told", func() bool { return ask("unix", after, "/x") != "/x" && len(l.At()) == 0 })
+}
+
+// TestEndpointsInTheWay guards against an address that can't be had as the one before it still is.
+func TestEndpointsInTheWay(t *testing.T) {
+	tcp, unix := func(a string) Endpoint { return Endpoint{Network: networkTCP, Address: a} }, Endpoint{Network: networkUnix, Address: "/s"}
+	for _, c := range []struct {
+		a, b Endpoint
+		want bool
+	}{
+		{tcp("127.0.0.1:7"), tcp("127.0.0.1:7"), true}, {tcp("127.0.0.1:7"), tcp("127.0.0.2:7"), false}, {tcp("127.0.0.1:7"), tcp("127.0.0.1:8"), false},
+		{tcp(":7"), tcp("127.0.0.1:7"), true}, {tcp("127.0.0.1:7"), tcp("[::]:7"), true}, {tcp("localhost:7"), tcp("127.0.0.1:7"), true},
+		{unix, Endpoint{Network: networkUnix, Address: "/s", Prefix: "/x"}, true}, {unix, Endpoint{Network: networkUnix, Address: "/t"}, false}, {unix, tcp("127.0.0.1:7"), false},
+	} {
+		if got := c.a.inTheWayOf(c.b); got != c.want {
+			t.Errorf("%v in the way of %v: %v", c.a, c.b, got)
+		}
+	}
+}
+
 // TestWhoElseIsAtTheAddressIsTold guards against a place to call of which the log tells no more than that it is in use.
 func TestWhoElseIsAtTheAddressIsTold(t *testing.T) {
 	for name, c := range map[string]struct {
