--- a/internal/rig/network.go
+++ b/internal/rig/network.go
@@ -279,6 +279,9 @@
 
 // wrote notes what discovery has written.
 func (t *tellings) wrote(node string, a standin.Written) {
+	if a.Version == 0 {
+		return // one that has been sent no list tells nothing
+	}
 	say := map[string]string{}
 	for _, e := range a.Entries {
 		say[e.Name] = e.Status
--- a/internal/standin/registry.go
+++ b/internal/standin/registry.go
@@ -142,6 +142,7 @@
 type Written struct {
 	To       string // the asker's address
 	Bytes    int64  // written on that connection so far
+	Version  uint64 // 0: it has been sent no list
 	Entries  []Entry
 	Snapshot bool
 }
@@ -355,7 +356,7 @@
 		return // the node has gone, or has no whole answer
 	}
 	if c, ok := req.Context().Value(countedKey{}).(*counted); ok && wrote != nil {
-		wrote(Written{To: req.RemoteAddr, Bytes: c.n.Load(), Entries: a.Entries, Snapshot: a.Snapshot})
+		wrote(Written{To: req.RemoteAddr, Bytes: c.n.Load(), Version: a.Index, Entries: a.Entries, Snapshot: a.Snapshot})
 	}
 }
 
