Count a server's own lateness in the rig while another process stands still

The trace: n3 logged its first attempt timed out 0.370 s after it began (3.465 to 3.835 s) and sent the second at 3.834 s; s19, a server of the rig's, noted the end of the first at 4.0926 s and 0.5 ms later that it had woken 0.280 s late.

The judge took no lateness over 0.15 s while any process stood still by the plan (n4 from 3.501 to 5.001 s), though only a server that was itself stopped wakes late for that. Now each server's lateness is left out while it is itself stopped, and by none other's stop. The history in checks.txt failed before: "found effects 1".

--- a/internal/rig/evidence.go
+++ b/internal/rig/evidence.go
@@ -21,6 +21,7 @@
 	of       string // of a lateness: whose it is, if it is not the rig's
 	by       int64  // of a lateness: how much
 	slept    bool   // of a lateness: a process did not run for all of the span
+	server   string // of a lateness: the one of the rig's that woke late, if it was one
 }
 
 type toldStatus struct {
@@ -103,7 +104,7 @@
 		case Belated:
 			h.belated[e.Peer] = time.Duration(e.N * 1e9)
 		case Late:
-			h.late = append(h.late, span{from: e.At - int64(e.N*1e9), to: e.At, by: int64(e.N * 1e9), slept: true})
+			h.late = append(h.late, span{from: e.At - int64(e.N*1e9), to: e.At, by: int64(e.N * 1e9), slept: true, server: e.Server})
 		case Viewed:
 			h.views[e.Node] = append(h.views[e.Node], viewLog{e.At, e.Text, int(e.N), e.Most == 1})
 		case Waited:
@@ -179,12 +180,7 @@
 		if s.of != "" && anyMeets(h.starved[s.of], s.from, s.to) {
 			return true
 		}
-		for _, spans := range h.stands {
-			if anyMeets(spans, s.from, s.to) && s.by > int64(settleTime) {
-				return true
-			}
-		}
-		return false
+		return s.server != "" && s.by > int64(settleTime) && anyMeets(h.stands[s.server], s.from, s.to)
 	})
 	for _, s := range h.late {
 		if s.by > int64(lateMost) {
