--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"os"
-	"reflect"
 	"strconv"
 
 	"indigotack/decide"
@@ -36,6 +35,8 @@
 
 	known discovery.List // the servers as the node last had them
 
+	rawSettings json.RawMessage // the text of Settings
+
 	unknownKeys      []unknownValue // of the configuration
 	unknownVariables []unknownValue // of the environment
 	unused           []unusedValue
@@ -58,30 +59,6 @@
 	return c, nil
 }
 
-// passedOver are the keys of a new configuration that say something else than the
-// one in force and that a node does not take up while it runs. A list of servers
-// counts if it is newer than the node's.
-func (c Config) passedOver(next Config, listVersion uint64) (keys []string) {
-	for _, key := range []struct {
-		name    string
-		differs bool
-	}{
-		{"name", next.Name != c.Name},
-		{"listen", next.Listen != c.Listen},
-		{"peer_listen", next.Peer != c.Peer},
-		{"seed", next.Seed != c.Seed},
-		{"limits.memory_mb", next.MemoryMB != c.MemoryMB},
-		{"limits.sockets", next.Sockets != c.Sockets},
-		{"settings", !reflect.DeepEqual(next.Settings, c.Settings)},
-		{"known", next.known.Index > listVersion},
-	} {
-		if key.differs {
-			keys = append(keys, key.name)
-		}
-	}
-	return keys
-}
-
 // CheckFile gives an error unless a path is that of an ordinary file. A program
 // that serves must not wait for what others may write to a pipe.
 func CheckFile(path string) error {
@@ -129,7 +106,7 @@
 		return Config{}, fmt.Errorf("seed: %w", err)
 	}
 	c := Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Peer: string(in.Peer), Seed: int64(seed),
-		MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets, Settings: settings, known: in.Known}
+		MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets, Settings: settings, known: in.Known, rawSettings: in.Settings}
 	if c.MemoryMB <= 0 {
 		c.MemoryMB = defaultMemoryMB
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -110,6 +110,7 @@
 // follows the list of servers at the new address, once that has told one, and
 // hears operators where they are now. All else needs a restart.
 func (n *Node) Reload(cfg Config) {
+	n.note(slog.LevelInfo, "the configuration was read anew", eventReload, "read", "discovery", cfg.Discovery, "operators", len(cfg.Operators.Addresses), "known_version", cfg.known.Index)
 	n.front.tellsCounters.Store(len(cfg.Operators.OnListen) > 0)
 	if n.listeners != nil {
 		n.listeners.Update(cfg.Operators)
@@ -117,7 +118,7 @@
 	n.post(func() {
 		n.cfg.unknownKeys, n.cfg.unknownVariables = cfg.unknownKeys, cfg.unknownVariables
 		if keys := n.cfg.passedOver(cfg, n.listVersion); len(keys) > 0 {
-			n.log.Warn("of the new configuration only discovery and operators' addresses are taken up; the rest needs a restart", "passed_over", keys)
+			n.log.Warn("of the new configuration only discovery and operators' addresses are taken up; the rest needs a restart", "passed_over", keys, "settings", n.cfg.changedSettings(cfg))
 		}
 		if cfg.Discovery != n.cfg.Discovery {
 			beforeMove(n.sources)
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -31,6 +31,7 @@
 	eventPhase      = "phases"             // the node's life has gone on
 	eventDenial     = "denials"            // an attempt was not sent that the module wanted, as it may not be any more
 	eventSignal     = "signals"            // the process was sent a signal
+	eventReload     = "reloads"            // a configuration was read while the node runs
 	eventStall      = "stalls"             // the process stood still
 	eventViolation  = "violations"         // a rule was broken, which was found when it was too late
 )
