Take no late list of a discovery that was left for one of the next

Of this release's own state, found by reading: where a sidecar's file named a file of servers and then a discovery again, sources were numbered anew, so a list that was still on its way from the one left passed for one of the new source.

The test failed before: "the servers are map[x:{x 0 ready 0 1}], want those before". Numbers go on now.

--- a/internal/discovery/sources.go
+++ b/internal/discovery/sources.go
@@ -287,7 +287,8 @@
 	for id := range s.sources {
 		s.leave(id, "no discovery is configured")
 	}
-	s.state, s.address = newSuccession(s.from != Asked), ""
+	s.state.reset()
+	s.address = ""
 }
 
 // inUse is the source whose lists hold; nil: none does yet.
--- a/internal/discovery/sources_test.go
+++ b/internal/discovery/sources_test.go
@@ -104,6 +104,32 @@
 	return open
 }
 
+// TestListOfSourceThatWasLeftIsNotTaken guards against a late list of a discovery that was left and passes for one of the next.
+func TestListOfSourceThatWasLeftIsNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSourcesUnderTest(Server, testGrace, place{name: "silent", manner: standin.Manner{End: standin.Silent}})
+		ctx, cancel := context.WithCancel(t.Context())
+		s.act(func() { s.Start(ctx) })
+		time.Sleep(testGrace)
+		before := s.inUse()
+		s.act(s.Leave)
+		s.move("silent")
+		before.sink.List(List{Index: 9, Snapshot: true, Entries: entriesOf("x")})
+		s.act(func() {
+			if _, taken := s.known["x"]; taken || len(s.known) != 1 {
+				t.Errorf("the servers are %v, want those before", s.known)
+			}
+			s.Leave()
+		})
+		cancel()
+		for _, a := range s.agents {
+			a.server.Close()
+		}
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	})
+}
+
 // TestDrainIsKnownInSeriesOfMoves guards against nodes that are blind after several moves, each to a discovery that tells nothing.
 func TestDrainIsKnownInSeriesOfMoves(t *testing.T) {
 	for _, from := range []Source{Agent, Server, Asked} {
--- a/internal/discovery/succession.go
+++ b/internal/discovery/succession.go
@@ -36,6 +36,13 @@
 	return &succession{drains: carriedDrains{held: map[string]Entry{}, left: map[string]departure{}}, wanted: followsLeaving}
 }
 
+// reset has no source followed, and what comes late of those before count for nothing.
+func (s *succession) reset() {
+	numbers := s.numbers
+	*s = *newSuccession(s.wanted)
+	s.numbers = numbers
+}
+
 // first has a source in use from the beginning.
 func (s *succession) first() sourceID {
 	s.numbers++
