--- a/internal/rig/moves.go
+++ b/internal/rig/moves.go
@@ -142,17 +142,16 @@
 func (h *History) unheardOverMoves(node string) (spans []span) {
 	moves := slices.Clone(h.moves[node])
 	for i, m := range moves {
-		ends, next := m.tells, int64(forever)
+		next := int64(forever)
 		if i+1 < len(moves) {
 			next = moves[i+1].at
 		}
 		if i > 0 && moves[i-1].tells >= m.at && moves[i-1].at+moves[i-1].keeps <= m.at {
 			moves[i].keeps, m.keeps = 0, 0 // the old one had ceased to learn
 		}
+		ends := next
 		if m.tells < next {
 			ends = max(m.tells, m.at+int64(movedTime))
-		} else {
-			ends = next
 		}
 		if from := m.at + m.keeps; from < ends {
 			spans = append(spans, span{from: from, to: ends})
