Hold servers that went in front of a move where the new discovery has them as ready

Found by reading: what is known has to outlive the source, but servers that had gone were kept only from the move on. Callers: a server that the old agent took out a moment before SIGHUP, and that a new agent still lists as ready, was sent requests again.

The rows of TestSuccession failed before: "a server that went in front of the move: the node knows "a b c d", want "a b-draining c d"", and the same of one that a whole list left out. Servers that went within the last 6 s are known at any time now.

--- a/internal/discovery/succession.go
+++ b/internal/discovery/succession.go
@@ -84,12 +84,10 @@
 func (s *succession) take(id sourceID, l List, known map[string]Entry, now time.Time) (taken List, ok bool, left []sourceID) {
 	switch s.role(id) {
 	case roleInUse:
-		if s.next != 0 {
-			s.drains.noteLeft(l, known, now)
-		}
+		s.drains.noteLeft(l, known, now)
 		return s.drains.apply(l), true, nil
 	case roleNext:
-		s.drains.hold(l, known)
+		s.drains.hold(l, known, now)
 		left = s.promote(now, len(known))
 		return s.drains.apply(l), true, left
 	case roleLeaving:
@@ -159,7 +157,7 @@
 // behind it has as ready: it may not have heard of it yet.
 type carriedDrains struct {
 	held  map[string]Entry     // as the source in use has them
-	left  map[string]departure // servers that went lately, while a source was to follow
+	left  map[string]departure // servers that went within lateTold
 	until time.Time            // they hold, once the source that told them is left
 }
 
@@ -171,21 +169,35 @@
 
 // noteLeft notes the servers that a list of the source in use takes out at a time.
 func (d *carriedDrains) noteLeft(l List, known map[string]Entry, now time.Time) {
-	maps.DeleteFunc(d.left, func(_ string, was departure) bool { return now.Sub(was.at) > lateTold })
+	d.forgetLeft(now)
 	listed := map[string]bool{}
 	for _, e := range l.Entries {
-		listed[e.Name] = e.State() != decide.Gone
+		if e.State() != decide.Gone {
+			listed[e.Name] = true
+			delete(d.left, e.Name)
+		} else if was, found := known[e.Name]; found {
+			d.left[e.Name] = departure{was.SinceMS, now}
+		}
+	}
+	if !l.Snapshot {
+		return
 	}
 	for name, was := range known {
-		if ready, told := listed[name]; !ready && (told || l.Snapshot) {
+		if !listed[name] {
 			d.left[name] = departure{was.SinceMS, now}
 		}
 	}
 }
 
+// forgetLeft forgets the servers that went too long before a time.
+func (d *carriedDrains) forgetLeft(now time.Time) {
+	maps.DeleteFunc(d.left, func(_ string, was departure) bool { return now.Sub(was.at) > lateTold })
+}
+
 // hold keeps what was known to drain or to have gone where the first list of a
 // source has it as ready and not as started since.
-func (d *carriedDrains) hold(first List, known map[string]Entry) {
+func (d *carriedDrains) hold(first List, known map[string]Entry, now time.Time) {
+	d.forgetLeft(now)
 	for _, e := range first.Entries {
 		if e.State() != decide.Ready {
 			continue
