Fold two branches of a move in one, and the end of two tests

Found on reading the whole change again: leaving no source does nothing, so the case of none in use needs no branch of its own; two tests in fake time ended their agents by the same lines. The comment of Owner.Failed said that it may be nil, which it may where lists are not asked for.

--- a/internal/discovery/sources.go
+++ b/internal/discovery/sources.go
@@ -24,7 +24,7 @@
 	Act        func(func())
 	Known      func() map[string]Entry // servers that are known, but for those gone; not to be changed
 	List       func(List)              // hears of news
-	Failed     func()                  // as Sink.Failed, of the source in use; may be nil
+	Failed     func()                  // as Sink.Failed, of the source in use; nil where lists are not asked for
 	Confirmed  func(at time.Time)      // as Sink.Confirmed, of the source in use; may be nil
 	CallFailed func(err error)         // as Sink.CallFailed, of all sources
 }
@@ -146,10 +146,8 @@
 	switch {
 	case inUse != nil && inUse.address == address:
 		s.leave(s.state.stay(), "the configuration names the one in use again")
-	case s.ctx == nil && inUse != nil: // nothing was followed yet
-		s.leave(inUse.id, "nothing was followed yet")
-		s.add(s.state.first(), 0)
 	case s.ctx == nil:
+		s.leave(s.state.inUse, "nothing was followed yet")
 		s.add(s.state.first(), 0)
 	default:
 		next, left := s.state.begin()
--- a/internal/discovery/sources_test.go
+++ b/internal/discovery/sources_test.go
@@ -94,6 +94,15 @@
 
 func (s *sourcesUnderTest) move(to string) { s.act(func() { s.Move(to + ":1") }) }
 
+// closeAgents ends all agents, and waits for what is left of the bubble.
+func (s *sourcesUnderTest) closeAgents() {
+	for _, a := range s.agents {
+		a.server.Close()
+	}
+	time.Sleep(time.Minute)
+	synctest.Wait()
+}
+
 // calls are how many calls are open in all.
 func (s *sourcesUnderTest) calls() (open int) {
 	for _, a := range s.agents {
@@ -122,11 +131,7 @@
 			s.Leave()
 		})
 		cancel()
-		for _, a := range s.agents {
-			a.server.Close()
-		}
-		time.Sleep(time.Minute)
-		synctest.Wait()
+		s.closeAgents()
 	})
 }
 
@@ -210,11 +215,7 @@
 			s.Leave()
 		})
 		cancel()
-		for _, a := range s.agents {
-			a.server.Close()
-		}
-		time.Sleep(time.Minute)
-		synctest.Wait()
+		s.closeAgents()
 	})
 	return took, most
 }
