--- a/internal/rig/draw.go
+++ b/internal/rig/draw.go
@@ -32,7 +32,7 @@
 	for range 1 + rng.IntN(4) {
 		p.Faults = append(p.Faults, p.randomFault(rng))
 	}
-	if drains := drainDraws(seed); drains.IntN(3) == 0 {
+	if drains := drawsOf(seed, drainStream); drains.IntN(3) == 0 {
 		p.quiesceOnce(drains, 25)
 	}
 	p.Want = Want{Memory: 192, After: 0.5, Recover: 2 * time.Second}
@@ -48,6 +48,18 @@
 	return float64(p.Servers.Count*p.Servers.Cores) * p.Servers.Speed * share / max(work, 1e-9)
 }
 
+// Streams of what is drawn apart from a seed's other faults, which stay the same
+// whether or not these are drawn.
+const (
+	crowdStream   = 23
+	drainStream   = 29 // drains by operators
+	answersStream = 31 // of agents
+	moveStream    = 37 // moves of discovery in series
+)
+
+// drawsOf is a source of draws of its own for a stream.
+func drawsOf(seed, stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) }
+
 // tenths draws a time in steps of a tenth of a second.
 func tenths(rng *rand.Rand, least, most int) time.Duration {
 	return time.Duration(least+rng.IntN(most-least+1)) * 100 * time.Millisecond
--- a/internal/rig/drawanswers.go
+++ b/internal/rig/drawanswers.go
@@ -7,10 +7,6 @@
 	"indigotack/internal/standin"
 )
 
-// answersDraws is what agents' answers are drawn from: a source of their own, so
-// that a seed's other faults stay as they were without them.
-func answersDraws(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 31)) }
-
 // soakAnswers has the agents of one node or of all answer no call for a while, or
 // some calls late, in parts or never, and servers drain within that, as it ends or
 // behind it. No answer that comes takes longer than half of the grace.
--- a/internal/rig/drawcrowds.go
+++ b/internal/rig/drawcrowds.go
@@ -10,9 +10,6 @@
 	mostReturning = 40 // that come again and again
 )
 
-// crowdDraws is what a soak's crowds are drawn from, apart from its other faults.
-func crowdDraws(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 23)) }
-
 // soakCrowds has one or two nodes beset by clients that have them hold much, or do much.
 func (p *Plan) soakCrowds(rng *rand.Rand) {
 	for range 1 + rng.IntN(2) {
--- a/internal/rig/drawdrains.go
+++ b/internal/rig/drawdrains.go
@@ -2,10 +2,6 @@
 
 import "math/rand/v2"
 
-// drainDraws is what drains by operators are drawn from: a source of their own,
-// so that a seed's other faults stay as they were without them.
-func drainDraws(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 29)) }
-
 // quiesceOnce has operators drain one node, several or all, at a tenth of a
 // second up to latest, and have them resume during the drain or after it.
 func (p *Plan) quiesceOnce(rng *rand.Rand, latest int) Fault {
--- a/internal/rig/moves.go
+++ b/internal/rig/moves.go
@@ -166,10 +166,6 @@
 	return spans
 }
 
-// moveDraws is what moves of discovery in series are drawn from: a source of their
-// own, so that a seed's other faults stay as they were without them.
-func moveDraws(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 37)) }
-
 // soakMoves has the discovery of one node or of all move up to three times to places
 // that tell nothing for a while or for good, and then to one that is well, while
 // servers drain in front of that, within and behind.
--- a/internal/rig/soak.go
+++ b/internal/rig/soak.go
@@ -54,16 +54,16 @@
 	for range 3 + rng.IntN(5) {
 		p.Faults = append(p.Faults, p.soakFault(rng))
 	}
-	if drains := drainDraws(seed); drains.IntN(3) > 0 {
+	if drains := drawsOf(seed, drainStream); drains.IntN(3) > 0 {
 		p.soakDrains(drains)
 	}
-	if crowds := crowdDraws(seed); crowds.IntN(4) > 0 {
+	if crowds := drawsOf(seed, crowdStream); crowds.IntN(4) > 0 {
 		p.soakCrowds(crowds)
 	}
-	if answers := answersDraws(seed); answers.IntN(4) > 0 {
+	if answers := drawsOf(seed, answersStream); answers.IntN(4) > 0 {
 		p.soakAnswers(answers)
 	}
-	if moves := moveDraws(seed); moves.IntN(4) > 0 {
+	if moves := drawsOf(seed, moveStream); moves.IntN(4) > 0 {
 		p.soakMoves(moves)
 	}
 	return &p
